Set up the build, the design page and the shared types

Cause: the repository was empty; modules that are written side by side need one build, one description of the interfaces and one set of message types.

Ruled out: a single shaded jar per program, because shading takes longer than the rest of the build and the JVM libraries are the same for all programs; the programs start from target/lib instead. Ordinary KDoc at file heads, because ktlint rejects a top-level KDoc that documents no declaration; file heads are plain block comments.

--- /dev/null
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/time/Timestamp.kt
@@ -0,0 +1,26 @@
+/*
+ * The point in time that tables and messages store. Tables hold deadlines as timestamps and never durations.
+ */
+package org.arbutusnotch.core.time
+
+import kotlinx.serialization.Serializable
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Holds a point in time in milliseconds since the epoch. */
+@Serializable
+@JvmInline
+public value class Timestamp(public val epochMillis: Long) : Comparable<Timestamp> {
+    override fun compareTo(other: Timestamp): Int = epochMillis.compareTo(other.epochMillis)
+
+    /** Returns the timestamp that lies [duration] later. */
+    public operator fun plus(duration: Duration): Timestamp = Timestamp(epochMillis + duration.inWholeMilliseconds)
+
+    /** Returns the timestamp that lies [duration] earlier. */
+    public operator fun minus(duration: Duration): Timestamp = Timestamp(epochMillis - duration.inWholeMilliseconds)
+
+    /** Returns the time that passed since [earlier]; negative when [earlier] lies ahead. */
+    public operator fun minus(earlier: Timestamp): Duration = (epochMillis - earlier.epochMillis).milliseconds
+
+    override fun toString(): String = epochMillis.toString()
+}
