--- /dev/null
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/TickSystems.kt
@@ -0,0 +1,138 @@
+/*
+ * The systems that run over the tables on each tick, in a fixed order.
+ */
+package org.arbutusnotch.daemon.control
+
+import org.arbutusnotch.core.configuration.CallerDirectory
+import org.arbutusnotch.core.configuration.RevisionEvent
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.InstanceId
+import org.arbutusnotch.core.membership.DrainState
+import org.arbutusnotch.core.membership.MembershipEvent
+import org.arbutusnotch.core.membership.SlotOwnership
+import org.arbutusnotch.core.message.InstanceState
+import org.arbutusnotch.core.straggler.StragglerDecision
+import org.arbutusnotch.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Time between two ticks. */
+internal val TICK_INTERVAL: Duration = 20.milliseconds
+
+/** Gap between two ticks above which the process counts as paused. */
+internal val TICK_GAP_LIMIT: Duration = 500.milliseconds
+
+/** Time for which a starting instance listens to its peers before it may serve. */
+private val STARTUP_LISTENING: Duration = 1_000.milliseconds
+
+/** Runs the systems over [state]; [startedAt] is the time at which the instance began to listen to its peers. */
+internal class TickSystems(private val state: ControlState, private val startedAt: Timestamp) {
+    private var knownLive: Set<InstanceId> = emptySet()
+    private var knownServers: Set<BackendServerId> = emptySet()
+
+    /** Runs every system once and returns what changed. */
+    fun tick(now: Timestamp): List<ControlEvent> {
+        val events = mutableListOf<ControlEvent>()
+        detectGap(now, events)
+        state.permits.tick(now)
+        state.quarantine.tick(now)
+        events += state.instances.tick(now).map(ControlEvent::Membership)
+        events += state.revisions.tick(now, state.reachablePeers()).flatMap { apply(it, now) }
+        updateOwnership(now, events)
+        compareServers(now, events)
+        events += state.reservations.tick(now).map(ControlEvent::Reservation)
+        updateState(now, events)
+        return events
+    }
+
+    /** Applies [event] to the tables and returns the control events that follow from it. */
+    fun apply(event: RevisionEvent, now: Timestamp): List<ControlEvent> {
+        val events = mutableListOf<ControlEvent>(ControlEvent.Revision(event))
+        when (event) {
+            is RevisionEvent.BecameActive -> {
+                val configuration = event.content.configuration
+                state.directory = CallerDirectory(configuration)
+                state.servers.configure(configuration)
+                state.router.configure(configuration)
+                events += state.reservations.configure(configuration, now).map(ControlEvent::Reservation)
+                knownServers = emptySet()
+            }
+
+            is RevisionEvent.MarksChanged -> state.instances.describeOwn(
+                inForce = event.marks.inForce,
+                candidate = event.marks.candidate,
+                conflicted = event.marks.conflicted,
+            )
+
+            is RevisionEvent.Rejected,
+            is RevisionEvent.OlderRefused,
+            is RevisionEvent.Conflict,
+            is RevisionEvent.FetchWanted,
+            -> Unit
+        }
+        return events
+    }
+
+    /** Applies [event] to the tables: the reservations of a replaced process end. */
+    fun apply(event: MembershipEvent, now: Timestamp): List<ControlEvent> {
+        val events = mutableListOf<ControlEvent>(ControlEvent.Membership(event))
+        when (event) {
+            is MembershipEvent.Replaced ->
+                events += state.reservations.removeTerminated(event.previous, now).map(ControlEvent::Reservation)
+
+            is MembershipEvent.BecameReachable,
+            is MembershipEvent.BecameUnreachable,
+            is MembershipEvent.OwnAddressTaken,
+            -> Unit
+        }
+        return events
+    }
+
+    private fun detectGap(now: Timestamp, events: MutableList<ControlEvent>) {
+        val gap = now - state.lastTick
+        if (gap > TICK_GAP_LIMIT) events += ControlEvent.TickGap(gap)
+        state.lastTick = now
+    }
+
+    private fun updateOwnership(now: Timestamp, events: MutableList<ControlEvent>) {
+        val live = state.liveIds()
+        val servers = state.directory?.configuration?.servers?.map { it.address }.orEmpty().toSet()
+        if (live.toSet() == knownLive && servers == knownServers) return
+        knownLive = live.toSet()
+        knownServers = servers
+        val owned = servers.filter { SlotOwnership.ownerOf(it, live) == state.self }.toSet()
+        events += state.reservations.setOwned(owned, now).map(ControlEvent::Reservation)
+    }
+
+    private fun compareServers(now: Timestamp, events: MutableList<ControlEvent>) {
+        state.servers.tick(now).forEach { decision ->
+            events += ControlEvent.Straggler(decision)
+            val excluded = decision is StragglerDecision.Excluded
+            events += state.reservations.setExcluded(decision.server, excluded, now).map(ControlEvent::Reservation)
+        }
+    }
+
+    private fun updateState(now: Timestamp, events: MutableList<ControlEvent>) {
+        advanceDrain(now, events)
+        val current = state.instances.ownRow.state
+        val next = when {
+            state.drain !is DrainState.Serving -> InstanceState.DRAINING
+            current == InstanceState.SERVING -> InstanceState.SERVING
+            mayServe(now) -> InstanceState.SERVING
+            else -> InstanceState.STARTING
+        }
+        if (next == current) return
+        state.instances.describeOwn(state = next)
+        events += ControlEvent.StateChanged(next)
+    }
+
+    private fun mayServe(now: Timestamp): Boolean =
+        now - startedAt >= STARTUP_LISTENING && state.revisions.mayServe(state.reachablePeers())
+
+    private fun advanceDrain(now: Timestamp, events: MutableList<ControlEvent>) {
+        val next = state.drain.advance(now, state.drainWork())
+        if (next == state.drain) return
+        state.drain = next
+        events += ControlEvent.DrainChanged(next)
+    }
+}
--- /dev/null
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionRun.kt
@@ -0,0 +1,235 @@
+/*
+ * Runs one completion: placement, reservations, prefill, decode, and resume on another server when a stream breaks.
+ *
+ * The completion may be repeated safely, because its tokens are numbered and the caller gets each of them once. It is
+ * refused as `not_run` only as long as no engine received any part of it.
+ */
+package org.arbutusnotch.daemon.entry
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.message.ReservationKind
+import org.arbutusnotch.core.outcome.RefusalReason
+import org.arbutusnotch.core.outcome.RequestOutcome
+import org.arbutusnotch.core.quarantine.RunDecision
+import org.arbutusnotch.core.retry.FailedAttempt
+import org.arbutusnotch.core.retry.RetryDecision
+import org.arbutusnotch.core.routing.CompletionRequest
+import org.arbutusnotch.core.routing.DecodeCandidate
+import org.arbutusnotch.core.routing.Placement
+import org.arbutusnotch.core.routing.ResumeReason
+import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.daemon.backend.BackendError
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Runs [work] and delivers its tokens to [sink]. */
+internal class CompletionRun(
+    private val entry: EntryContext,
+    private val work: CompletionWork,
+    sink: TokenSink,
+) {
+    private val delivered = DeliveredTokens(sink)
+    private val tried = LinkedHashSet<BackendServerId>()
+    private var engineReached = false
+
+    /** Runs the completion to its end and returns its outcome. */
+    suspend fun run(): RequestOutcome {
+        entry.loop.run { retryBudget.recordFirstAttempt(entry.clock.now()) }
+        while (true) {
+            val leg = runAllowed()
+            if (leg is Leg.Complete) return RequestOutcome.Answered
+            val refusal = if (leg is Leg.Refused) leg else continueAfter(leg as Leg.Failed) ?: continue
+            return if (engineReached) {
+                RequestOutcome.Unknown(refusal.reason, refusal.retryAt)
+            } else {
+                RequestOutcome.NotRun(refusal.reason, refusal.retryAt)
+            }
+        }
+    }
+
+    /** Runs one leg unless the request is known to crash engines. */
+    private suspend fun runAllowed(): Leg {
+        val startedAt = entry.clock.now()
+        val decision = entry.loop.run {
+            quarantine.beginRun(work.digest, startedAt, instances.live().map { it.address })
+        }
+        if (decision is RunDecision.Refused) return Leg.Refused(RefusalReason.QUARANTINED, decision.retryAt)
+        var completed = false
+        try {
+            val leg = runLeg()
+            completed = leg is Leg.Complete
+            if (leg is Leg.Failed) reportCrash(leg)
+            return leg
+        } finally {
+            // Must have ended before the next leg begins, because only one run is allowed after a crash.
+            withContext(NonCancellable) {
+                entry.loop.run { quarantine.endRun(work.digest, startedAt, completed, entry.clock.now()) }
+            }
+        }
+    }
+
+    private suspend fun runLeg(): Leg {
+        val now = entry.clock.now()
+        val firstTokenDeadline = if (delivered.count == 0 && tried.isEmpty()) work.firstTokenDeadline else work.deadline
+        val placement = entry.loop.run { router.placeCompletion(placementRequest(firstTokenDeadline), now) }
+        return when (placement) {
+            is Placement.Refused -> Leg.Refused(placement.reason, placement.retryAt)
+            is Placement.Placed -> runPlaced(placement, firstTokenDeadline)
+        }
+    }
+
+    private suspend fun runPlaced(placement: Placement.Placed, firstTokenDeadline: Timestamp): Leg {
+        val first = placement.prefill.first()
+        val decodeStart = firstTokenDeadline - (first.predictedPrefill + first.predictedWait)
+        return when (val decode = reserveDecode(placement.decode, decodeStart)) {
+            is DecodeReservation.Refused -> Leg.Refused(RefusalReason.CAPACITY, decode.retryAt)
+            is DecodeReservation.Accepted -> runReserved(placement, decode.reserved)
+        }
+    }
+
+    private suspend fun runReserved(placement: Placement.Placed, decode: ReservedDecode): Leg {
+        var decodeStarted = false
+        try {
+            val prefill = PrefillRace(entry, work).run(placement.prefill, placement.secondPrefillAt)
+            return when (prefill) {
+                is PrefillOutcome.Refused -> Leg.Refused(RefusalReason.CAPACITY, prefill.retryAt)
+
+                is PrefillOutcome.Failed -> Leg.Failed(prefill.server, prefill.error)
+
+                is PrefillOutcome.Done -> {
+                    engineReached = true
+                    decodeStarted = true
+                    runDecode(decode, prefill.held)
+                }
+            }
+        } finally {
+            if (!decodeStarted) entry.reservations.release(decode.candidate.server, decode.attempt, decode.outcome)
+        }
+    }
+
+    private suspend fun runDecode(decode: ReservedDecode, prefill: HeldPrefill): Leg {
+        try {
+            return when (val outcome = DecodeLeg(entry, work, decode, delivered).run(prefill)) {
+                is DecodeOutcome.Complete -> {
+                    entry.loop.run { servers.recordSuccess(decode.candidate.server) }
+                    Leg.Complete
+                }
+
+                is DecodeOutcome.Moved -> Leg.Failed(outcome.server, error = null, resume = outcome.reason)
+
+                is DecodeOutcome.Failed -> Leg.Failed(outcome.server, outcome.error)
+            }
+        } finally {
+            entry.release(prefill.server, prefill.attempt)
+        }
+    }
+
+    private suspend fun reserveDecode(candidates: List<DecodeCandidate>, startDeadline: Timestamp): DecodeReservation {
+        var retryAt: Timestamp? = null
+        candidates.take(CANDIDATES_ASKED).forEach { candidate ->
+            val attempt = entry.loop.run { nextAttempt() }
+            val request = ResourceRequest(
+                server = candidate.server,
+                kind = ReservationKind.DECODE,
+                attempt = attempt,
+                priority = work.caller.priority,
+                work = work.maxTokens - delivered.count,
+                startDeadline = maxOf(startDeadline, entry.clock.now() + SHORTEST_START_WAIT),
+            )
+            when (val outcome = entry.reservations.reserve(request)) {
+                is ReservationOutcome.Refused -> retryAt = listOfNotNull(retryAt, outcome.retryAt).min()
+                else -> return DecodeReservation.Accepted(ReservedDecode(candidate, attempt, outcome))
+            }
+        }
+        return DecodeReservation.Refused(retryAt ?: (entry.clock.now() + RETRY_DELAY))
+    }
+
+    /** Returns null when the request is tried again, otherwise how it ends. */
+    private suspend fun continueAfter(failed: Leg.Failed): Leg.Refused? {
+        val now = entry.clock.now()
+        tried += failed.server
+        failed.error?.let { if (mayHaveRun(it)) engineReached = true }
+        val reason = retryReason(failed)
+        if (failed.isConnectionFailure) entry.loop.run { servers.recordFailure(failed.server, now) }
+        val attempt = FailedAttempt(
+            idempotent = true,
+            mayHaveStarted = engineReached,
+            triedServers = tried,
+            deadline = work.deadline,
+            expectedTime = work.targets.firstToken,
+        )
+        return when (val decision = entry.loop.run { RetryDecision.of(attempt, retryBudget, now) }) {
+            is RetryDecision.Retry -> {
+                entry.counters.retry(reason)
+                null
+            }
+
+            is RetryDecision.Stop -> Leg.Refused(decision.reason, retryAt = now + RETRY_DELAY)
+        }
+    }
+
+    /** Checks whether the engine of a broken stream crashed, and reports the request that was running on it. */
+    private suspend fun reportCrash(failed: Leg.Failed) {
+        if (failed.error !is BackendError.BrokenAfterWrite) return
+        val probe = entry.engine.load(failed.server, entry.clock.now() + PROBE_TIMEOUT)
+        val crashed = probe.fold(success = { false }, failure = { it is BackendError.NotConnected })
+        if (!crashed) return
+        entry.loop.run { quarantine.report(work.digest, failed.server, entry.clock.now()) }
+        entry.counters.crashReported()
+    }
+
+    private fun placementRequest(firstTokenDeadline: Timestamp) = CompletionRequest(
+        model = work.model,
+        prefixDigests = work.prefixDigests,
+        promptTokens = work.promptTokens,
+        maxTokens = work.maxTokens - delivered.count,
+        priority = work.caller.priority,
+        firstTokenDeadline = firstTokenDeadline,
+        excludedServers = tried.toSet(),
+    )
+
+    private sealed class Leg {
+        data object Complete : Leg()
+
+        data class Refused(val reason: RefusalReason, val retryAt: Timestamp?) : Leg()
+
+        data class Failed(val server: BackendServerId, val error: BackendError?, val resume: ResumeReason? = null) : Leg() {
+            val isConnectionFailure: Boolean
+                get() = error is BackendError.NotConnected || error is BackendError.BrokenAfterWrite
+        }
+    }
+
+    private sealed class DecodeReservation {
+        data class Accepted(val reserved: ReservedDecode) : DecodeReservation()
+
+        data class Refused(val retryAt: Timestamp) : DecodeReservation()
+    }
+
+    private companion object {
+        val RETRY_DELAY: Duration = 500.milliseconds
+        val PROBE_TIMEOUT: Duration = 300.milliseconds
+
+        fun mayHaveRun(error: BackendError): Boolean = error.mayHaveBeenReceived && error !is BackendError.RefusedFull
+
+        fun retryReason(failed: Leg.Failed): RetryReason = when (failed.resume) {
+            ResumeReason.NO_TOKEN -> RetryReason.NO_TOKEN
+            ResumeReason.SLOW_SERVER -> RetryReason.SLOW_SERVER
+            null -> failed.error?.let(::retryReasonOf) ?: RetryReason.BROKEN_STREAM
+        }
+    }
+}
+
+/** Names the reason for which work is repeated after [error]. */
+internal fun retryReasonOf(error: BackendError): RetryReason = when (error) {
+    is BackendError.NotConnected -> RetryReason.NOT_CONNECTED
+    is BackendError.RefusedFull -> RetryReason.REFUSED_FULL
+    is BackendError.HandleGone -> RetryReason.HANDLE_GONE
+    is BackendError.FencingRefused -> RetryReason.FAILED_STATUS
+    is BackendError.FailedStatus -> RetryReason.FAILED_STATUS
+    is BackendError.BrokenAfterWrite -> RetryReason.BROKEN_STREAM
+    is BackendError.TimedOut -> RetryReason.TIMED_OUT
+    is BackendError.Malformed -> RetryReason.MALFORMED
+}
--- /dev/null
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/DecodeLeg.kt
@@ -0,0 +1,214 @@
+/*
+ * One decode stream of a completion, from its reservation to its end, failure or move to another server.
+ */
+package org.arbutusnotch.daemon.entry
+
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.channels.getOrElse
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.buffer
+import kotlinx.coroutines.flow.produceIn
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
+import org.arbutusnotch.core.id.AttemptId
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.message.ReservationKind
+import org.arbutusnotch.core.routing.DecodeCandidate
+import org.arbutusnotch.core.routing.ResumeReason
+import org.arbutusnotch.core.routing.StreamAction
+import org.arbutusnotch.core.routing.StreamWatch
+import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.daemon.backend.BackendError
+import org.arbutusnotch.daemon.backend.DecodeEvent
+import org.arbutusnotch.daemon.backend.DecodeRequest
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Describes a decode server that accepted the completion. */
+internal data class ReservedDecode(
+    val candidate: DecodeCandidate,
+    val attempt: AttemptId,
+    val outcome: ReservationOutcome,
+)
+
+/** Describes how a decode stream ended. */
+internal sealed class DecodeOutcome {
+    /** Every token was delivered. */
+    data object Complete : DecodeOutcome()
+
+    /** The stream was closed because another server can deliver the remaining tokens sooner. */
+    data class Moved(val server: BackendServerId, val reason: ResumeReason) : DecodeOutcome()
+
+    data class Failed(val server: BackendServerId, val error: BackendError) : DecodeOutcome()
+}
+
+/** Keeps what a completion has delivered to its caller over all of its streams. */
+internal class DeliveredTokens(private val sink: TokenSink) {
+    /** Number of tokens that the caller got. */
+    var count: Int = 0
+        private set
+
+    /** Delivers the next token. */
+    suspend fun deliver(text: String) {
+        sink.token(text)
+        count += 1
+    }
+}
+
+/** Runs one decode stream of [work]. */
+internal class DecodeLeg(
+    private val entry: EntryContext,
+    private val work: CompletionWork,
+    private val reserved: ReservedDecode,
+    private val delivered: DeliveredTokens,
+) {
+    private val server = reserved.candidate.server
+    private var lastToken = entry.clock.now()
+    private var firstOfLeg = true
+    private var watch = StreamWatch.start(
+        now = lastToken,
+        expectedInterval = maxOf(reserved.candidate.perToken, work.targets.betweenTokens),
+        firstTokenAfter = FIRST_TOKEN_ALLOWANCE,
+    )
+
+    /** Decodes from [prefill] and delivers the tokens that the caller does not have yet. */
+    suspend fun run(prefill: HeldPrefill): DecodeOutcome {
+        val running = entry.reporter.start(
+            RunningAttempt(
+                server = server,
+                attempt = reserved.attempt,
+                kind = ReservationKind.DECODE,
+                priority = work.caller.priority,
+                work = work.maxTokens - delivered.count,
+                expectedSince = entry.clock.now() + FIRST_TOKEN_ALLOWANCE,
+            ),
+        )
+        var complete = false
+        try {
+            val outcome = stream(prefill, running)
+            complete = outcome is DecodeOutcome.Complete
+            return outcome
+        } finally {
+            entry.reporter.stop(running)
+            entry.reservations.release(running, reserved.outcome)
+            if (!complete) entry.release(server, reserved.attempt)
+        }
+    }
+
+    private suspend fun stream(prefill: HeldPrefill, running: RunningAttempt): DecodeOutcome = coroutineScope {
+        val events = entry.engine.decode(server, request(prefill)).buffer(EVENT_BUFFER).produceIn(this)
+        val outcome = consume(events, running)
+        events.cancel()
+        outcome
+    }
+
+    private suspend fun consume(events: ReceiveChannel<DecodeEvent>, running: RunningAttempt): DecodeOutcome {
+        while (true) {
+            val event = next(events)
+            val end = if (event == null) checkProgress() else take(event, running)
+            if (end != null) return end
+        }
+    }
+
+    /** Returns the next event; null when none arrived until the next check of the stream. */
+    private suspend fun next(events: ReceiveChannel<DecodeEvent>): DecodeEvent? = select {
+        events.onReceiveCatching { received -> received.getOrElse { DecodeEvent.Failed(streamEnded()) } }
+        onTimeout(CHECK_INTERVAL) { null }
+    }
+
+    private suspend fun take(event: DecodeEvent, running: RunningAttempt): DecodeOutcome? = when (event) {
+        is DecodeEvent.Token -> takeToken(event, running)
+        is DecodeEvent.End -> takeEnd(event)
+        is DecodeEvent.Failed -> DecodeOutcome.Failed(server, event.error)
+    }
+
+    private suspend fun takeToken(token: DecodeEvent.Token, running: RunningAttempt): DecodeOutcome? {
+        if (token.attempt != reserved.attempt) {
+            entry.counters.droppedToken(DropReason.OTHER_ATTEMPT)
+            return null
+        }
+        if (token.index < delivered.count) {
+            entry.counters.droppedToken(DropReason.ALREADY_DELIVERED)
+            return null
+        }
+        if (token.index > delivered.count) {
+            return DecodeOutcome.Failed(server, BackendError.Malformed("token ${delivered.count} is missing"))
+        }
+        observe(running)
+        delivered.deliver(token.text)
+        return null
+    }
+
+    private suspend fun observe(running: RunningAttempt) {
+        val now = entry.clock.now()
+        val interval = now - lastToken
+        lastToken = now
+        watch = watch.received(now)
+        // The time to the first token includes transfer and prefill, so it says nothing about the speed of decoding.
+        if (firstOfLeg) {
+            firstOfLeg = false
+            running.add(0, Duration.ZERO, now)
+            return
+        }
+        running.add(1, interval, now)
+        entry.loop.run { servers.observeTokens(server, 1, interval, now) }
+    }
+
+    private fun takeEnd(end: DecodeEvent.End): DecodeOutcome? = when {
+        end.attempt != reserved.attempt -> {
+            entry.counters.droppedToken(DropReason.OTHER_ATTEMPT)
+            null
+        }
+
+        end.tokens != delivered.count || end.tokens < work.maxTokens ->
+            DecodeOutcome.Failed(server, BackendError.Malformed("stream ended after ${end.tokens} tokens"))
+
+        else -> DecodeOutcome.Complete
+    }
+
+    private suspend fun checkProgress(): DecodeOutcome? {
+        val now = entry.clock.now()
+        if (now >= work.deadline) return DecodeOutcome.Failed(server, BackendError.TimedOut(mayHaveBeenReceived = true))
+        val excluded = entry.loop.run { servers.server(server, now)?.excluded == true }
+        val action = watch.decide(
+            now = now,
+            serverExcluded = excluded,
+            remainingTokens = work.maxTokens - delivered.count,
+            resumeCost = work.targets.firstToken,
+        )
+        return when (action) {
+            is StreamAction.Continue -> null
+            is StreamAction.Resume -> DecodeOutcome.Moved(server, action.reason)
+        }
+    }
+
+    private fun streamEnded(): BackendError = BackendError.BrokenAfterWrite("stream ended without its end marker")
+
+    private fun request(prefill: HeldPrefill): DecodeRequest = DecodeRequest(
+        attempt = reserved.attempt,
+        instance = entry.self.address,
+        incarnation = entry.self.incarnation,
+        model = work.model,
+        sourceServer = prefill.server,
+        handle = prefill.result.handle,
+        firstTokenIndex = delivered.count,
+        maxTokens = work.maxTokens,
+        priority = work.caller.priority,
+        deadline = work.deadline,
+    )
+
+    private companion object {
+        /** Time between two checks of a stream that delivers nothing. */
+        val CHECK_INTERVAL: Duration = 20.milliseconds
+
+        /** Time for the transfer of the KV cache before the first token. */
+        val FIRST_TOKEN_ALLOWANCE: Duration = 300.milliseconds
+        const val EVENT_BUFFER = 64
+    }
+}
+
+/** Names why an output token of an engine is not delivered. */
+internal enum class DropReason(val code: String) {
+    OTHER_ATTEMPT("other_attempt"),
+    ALREADY_DELIVERED("already_delivered"),
+}
--- /dev/null
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryContext.kt
@@ -0,0 +1,67 @@
+/*
+ * What every request of an entry uses.
+ */
+package org.arbutusnotch.daemon.entry
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.arbutusnotch.core.id.AttemptId
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.InstanceId
+import org.arbutusnotch.daemon.backend.EngineClient
+import org.arbutusnotch.daemon.backend.ServiceClient
+import org.arbutusnotch.daemon.control.Clock
+import org.arbutusnotch.daemon.control.ControlLoop
+import org.arbutusnotch.daemon.control.ControlState
+import org.arbutusnotch.daemon.telemetry.Counters
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Number of candidates that an entry asks for a reservation before it refuses a request. */
+internal const val CANDIDATES_ASKED: Int = 3
+
+/** Shortest time that a reservation may wait, so that a request near its deadline can still get a free slot. */
+internal val SHORTEST_START_WAIT: Duration = 20.milliseconds
+
+/** Holds the parts of the daemon that requests use. */
+internal class EntryContext(
+    val self: InstanceId,
+    val loop: ControlLoop,
+    val clock: Clock,
+    val engine: EngineClient,
+    val services: ServiceClient,
+    val reservations: ReservationGateway,
+    val permits: PermitGateway,
+    val reporter: StreamReporter,
+    val counters: Counters,
+    val background: CoroutineScope,
+) {
+    /** Releases what [server] holds for [attempt], without waiting for it. The engine ignores unknown attempts. */
+    fun release(server: BackendServerId, attempt: AttemptId) {
+        background.launch { engine.cancel(server, attempt, clock.now() + CANCEL_TIMEOUT) }
+    }
+
+    /** Runs [block] on the control thread without waiting for it, also when the request was cancelled. */
+    fun onControl(block: ControlState.() -> Unit) {
+        background.launch { loop.run(block) }
+    }
+
+    private companion object {
+        val CANCEL_TIMEOUT: Duration = 2.seconds
+    }
+}
+
+/** Names why work is sent to a backend server once more. */
+internal enum class RetryReason(val code: String) {
+    NOT_CONNECTED("not_connected"),
+    REFUSED_FULL("refused_full"),
+    HANDLE_GONE("handle_gone"),
+    BROKEN_STREAM("broken_stream"),
+    FAILED_STATUS("failed_status"),
+    TIMED_OUT("timed_out"),
+    MALFORMED("malformed"),
+    NO_TOKEN("no_token"),
+    SLOW_SERVER("slow_server"),
+    LATE_PREFILL("late_prefill"),
+}
--- /dev/null
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/ReservationGateway.kt
@@ -0,0 +1,142 @@
+/*
+ * Reservations as an entry asks for them, from whichever instance owns the backend server.
+ */
+package org.arbutusnotch.daemon.entry
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.arbutusnotch.core.id.AttemptId
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.InstanceId
+import org.arbutusnotch.core.id.RevisionNumber
+import org.arbutusnotch.core.membership.SlotOwnership
+import org.arbutusnotch.core.message.ReleaseRequest
+import org.arbutusnotch.core.message.ReservationKind
+import org.arbutusnotch.core.message.ReservationRefusal
+import org.arbutusnotch.core.message.ReserveReply
+import org.arbutusnotch.core.message.ReserveRequest
+import org.arbutusnotch.core.message.StreamReport
+import org.arbutusnotch.core.routing.RoutingPolicy
+import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.daemon.control.Clock
+import org.arbutusnotch.daemon.control.ControlLoop
+import org.arbutusnotch.daemon.control.SlotOwnerService
+import org.arbutusnotch.peer.PeerTransport
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Describes the resource that an attempt needs. */
+internal data class ResourceRequest(
+    val server: BackendServerId,
+    val kind: ReservationKind,
+    val attempt: AttemptId,
+    val priority: Int,
+    val work: Int,
+    val startDeadline: Timestamp,
+)
+
+/** Describes whether an attempt may go to a server. */
+internal sealed class ReservationOutcome {
+    /** The owner holds the resource for the attempt. */
+    data class Reserved(val owner: InstanceId) : ReservationOutcome()
+
+    /** Nobody holds the resource; the server's own admission control decides. */
+    data object Direct : ReservationOutcome()
+
+    /** The owner refused. */
+    data class Refused(val refusal: ReservationRefusal, val retryAt: Timestamp) : ReservationOutcome()
+}
+
+/** Asks slot owners for reservations and gives them back. */
+internal class ReservationGateway(
+    private val loop: ControlLoop,
+    private val clock: Clock,
+    private val transport: PeerTransport,
+    private val local: SlotOwnerService,
+    private val background: CoroutineScope,
+) {
+    /** Reserves [request]; an unreachable owner leads to a direct attempt. */
+    suspend fun reserve(request: ResourceRequest): ReservationOutcome {
+        val target = loop.run {
+            val owner = SlotOwnership.ownerOf(request.server, liveIds())
+            val revision = revisions.active?.mark?.revision ?: RevisionNumber(0)
+            servers.recordPlaced(request.server, request.work, clock.now())
+            ReservationTarget(self, owner, revision, reserves = policy == RoutingPolicy.Chosen)
+        }
+        val owner = target.owner
+        if (!target.reserves || owner == null) return ReservationOutcome.Direct
+        val message = ReserveRequest(
+            server = request.server,
+            kind = request.kind,
+            attempt = request.attempt,
+            holder = target.self,
+            priority = request.priority,
+            work = request.work,
+            startDeadline = request.startDeadline,
+            revision = target.revision,
+        )
+        val reply = if (owner == target.self) local.reserve(message) else ask(owner, message)
+        return outcome(owner, reply)
+    }
+
+    /** Gives back what [outcome] holds on [server] for [attempt], which did no work, without waiting for the owner. */
+    fun release(server: BackendServerId, attempt: AttemptId, outcome: ReservationOutcome) {
+        if (outcome !is ReservationOutcome.Reserved) return
+        background.launch { releaseAt(outcome.owner, ReleaseRequest(server, attempt)) }
+    }
+
+    /** Gives back what [outcome] holds for [finished] and reports its last progress, without waiting for the owner. */
+    fun release(finished: RunningAttempt, outcome: ReservationOutcome) {
+        if (outcome !is ReservationOutcome.Reserved) return
+        background.launch {
+            val self = loop.run { self }
+            val report = StreamReport(finished.server, self, listOf(finished.take().copy(finished = true)))
+            if (outcome.owner == self) local.report(report) else transport.request(outcome.owner.address, report, RELEASE_TIMEOUT)
+        }
+    }
+
+    private suspend fun ask(owner: InstanceId, message: ReserveRequest): ReserveReply? {
+        val timeout = maxOf(message.startDeadline - clock.now(), Duration.ZERO) + REPLY_MARGIN
+        val reply = transport.request(owner.address, message, timeout).fold(success = { it }, failure = { null })
+        if (reply == null) background.launch { releaseAt(owner, ReleaseRequest(message.server, message.attempt)) }
+        return reply as? ReserveReply
+    }
+
+    private suspend fun releaseAt(owner: InstanceId, message: ReleaseRequest) {
+        if (owner == loop.run { self }) local.release(message) else transport.request(owner.address, message, RELEASE_TIMEOUT)
+    }
+
+    private suspend fun outcome(owner: InstanceId, reply: ReserveReply?): ReservationOutcome = when (reply) {
+        null -> ReservationOutcome.Direct
+
+        is ReserveReply.Granted -> {
+            loop.run { servers.merge(reply.summary) }
+            ReservationOutcome.Reserved(owner)
+        }
+
+        is ReserveReply.Refused -> refused(reply)
+    }
+
+    private suspend fun refused(reply: ReserveReply.Refused): ReservationOutcome {
+        loop.run { reply.summary?.let(servers::merge) }
+        return when (reply.refusal) {
+            ReservationRefusal.NOT_OWNER, ReservationRefusal.UNKNOWN_SERVER -> ReservationOutcome.Direct
+            else -> ReservationOutcome.Refused(reply.refusal, reply.retryAt)
+        }
+    }
+
+    private data class ReservationTarget(
+        val self: InstanceId,
+        val owner: InstanceId?,
+        val revision: RevisionNumber,
+        val reserves: Boolean,
+    )
+
+    private companion object {
+        /** Time for the reply to arrive after the owner decided at the start deadline. */
+        val REPLY_MARGIN: Duration = 150.milliseconds
+        val RELEASE_TIMEOUT: Duration = 1.seconds
+    }
+}
--- /dev/null
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/PeerMessageHandler.kt
@@ -0,0 +1,66 @@
+/*
+ * Answers the messages of other instances.
+ */
+package org.arbutusnotch.daemon.peer
+
+import org.arbutusnotch.core.message.Acknowledged
+import org.arbutusnotch.core.message.ConfigurationContent
+import org.arbutusnotch.core.message.ConfigurationFetch
+import org.arbutusnotch.core.message.Gossip
+import org.arbutusnotch.core.message.PeerMessage
+import org.arbutusnotch.core.message.PermitClose
+import org.arbutusnotch.core.message.PermitReply
+import org.arbutusnotch.core.message.PermitRequest
+import org.arbutusnotch.core.message.ReleaseRequest
+import org.arbutusnotch.core.message.ReserveReply
+import org.arbutusnotch.core.message.ReserveRequest
+import org.arbutusnotch.core.message.StreamReport
+import org.arbutusnotch.core.message.StreamReportReply
+import org.arbutusnotch.daemon.control.Clock
+import org.arbutusnotch.daemon.control.ConfigurationIntake
+import org.arbutusnotch.daemon.control.ControlEvent
+import org.arbutusnotch.daemon.control.ControlLoop
+import org.arbutusnotch.daemon.control.SlotOwnerService
+
+/** Dispatches each message to the tables that it concerns. */
+internal class PeerMessageHandler(
+    private val loop: ControlLoop,
+    private val clock: Clock,
+    private val gossip: GossipExchange,
+    private val configuration: ConfigurationIntake,
+    private val slotOwner: SlotOwnerService,
+    private val events: suspend (ControlEvent) -> Unit,
+) {
+    /** Answers [message]; a message that is itself an answer is acknowledged and changes nothing. */
+    suspend fun handle(message: PeerMessage): PeerMessage = when (message) {
+        is Gossip -> {
+            gossip.merge(message).forEach { events(it) }
+            Acknowledged
+        }
+
+        is ConfigurationFetch -> configuration.content(message)
+
+        is PermitRequest -> loop.run { permits.request(message, clock.now()) }
+
+        is PermitClose -> {
+            loop.run { permits.close(message, clock.now()) }
+            Acknowledged
+        }
+
+        is ReserveRequest -> slotOwner.reserve(message)
+
+        is ReleaseRequest -> {
+            slotOwner.release(message)
+            Acknowledged
+        }
+
+        is StreamReport -> slotOwner.report(message)
+
+        is Acknowledged,
+        is ConfigurationContent,
+        is PermitReply,
+        is ReserveReply,
+        is StreamReportReply,
+        -> Acknowledged
+    }
+}
