--- /dev/null
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
@@ -0,0 +1,185 @@
+/*
+ * The view of all instances, built from gossip and from the platform's published list.
+ *
+ * A row is replaced by a higher incarnation, or by a higher heartbeat of the same incarnation. An instance whose
+ * heartbeat has not risen before its suspicion deadline is unreachable. The published list lags, so it only adds
+ * addresses to contact and says which instances leave.
+ */
+package org.arbutusnotch.core.membership
+
+import org.arbutusnotch.core.id.InstanceAddress
+import org.arbutusnotch.core.id.InstanceId
+import org.arbutusnotch.core.id.RevisionNumber
+import org.arbutusnotch.core.message.InstanceRow
+import org.arbutusnotch.core.message.InstanceState
+import org.arbutusnotch.core.message.PublishedInstance
+import org.arbutusnotch.core.message.RevisionMark
+import org.arbutusnotch.core.time.Timestamp
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+
+/** Reports a change of the view. */
+public sealed interface MembershipEvent {
+    /** An instance became reachable. */
+    public data class BecameReachable(public val instance: InstanceId) : MembershipEvent
+
+    /** The heartbeat of an instance has not risen in time. */
+    public data class BecameUnreachable(public val instance: InstanceId) : MembershipEvent
+
+    /** A later incarnation runs at the address of [previous], so that process has ended. */
+    public data class Replaced(public val previous: InstanceId, public val current: InstanceId) : MembershipEvent
+
+    /** A later incarnation runs at the own address; this process must stop serving. */
+    public data class OwnAddressTaken(public val current: InstanceId) : MembershipEvent
+}
+
+/**
+ * Holds one row per instance address.
+ *
+ * @param own the row of this process
+ * @param seeds addresses to contact when the published list is not available
+ * @param suspicion time without a heartbeat rise after which an instance is unreachable
+ * @param removal time without a heartbeat rise after which a row is removed
+ */
+public class InstanceTable(
+    own: InstanceRow,
+    private val seeds: Collection<InstanceAddress> = emptyList(),
+    private val suspicion: Duration = SUSPICION,
+    private val removal: Duration = REMOVAL,
+) {
+    private val peers = LinkedHashMap<InstanceAddress, KnownInstance>()
+    private var published = emptyMap<InstanceAddress, PublishedInstance>()
+
+    /** The row of this process. */
+    public var ownRow: InstanceRow = own
+        private set
+
+    /** Address and incarnation of this process. */
+    public val self: InstanceId
+        get() = ownRow.instance
+
+    /** The later incarnation that was seen at the own address; null when there is none. */
+    public var successor: InstanceId? = null
+        private set
+
+    /** Raises the own heartbeat; called before each gossip. */
+    public fun beat() {
+        ownRow = ownRow.copy(heartbeat = ownRow.heartbeat + 1)
+    }
+
+    /** Changes what the own row says; the change is sent with the next heartbeat. */
+    public fun describeOwn(
+        state: InstanceState = ownRow.state,
+        inForce: RevisionMark? = ownRow.inForce,
+        candidate: RevisionMark? = ownRow.candidate,
+        conflicted: RevisionNumber? = ownRow.conflicted,
+    ) {
+        val changed = ownRow.copy(state = state, inForce = inForce, candidate = candidate, conflicted = conflicted)
+        if (changed != ownRow) ownRow = changed.copy(heartbeat = ownRow.heartbeat + 1)
+    }
+
+    /** Takes over every row of [rows] that is newer than the known one, and returns what changed. */
+    public fun merge(rows: List<InstanceRow>, now: Timestamp): List<MembershipEvent> =
+        rows.flatMap { if (it.instance.address == self.address) mergeOwn(it) else merge(it, now) }
+
+    /** Takes over the platform's list. */
+    public fun mergePublished(list: List<PublishedInstance>) {
+        published = list.associateBy { it.address }
+    }
+
+    /** Marks instances unreachable whose suspicion deadline has passed, and removes rows that are long gone. */
+    public fun tick(now: Timestamp): List<MembershipEvent> {
+        peers.values.removeIf { it.removeAt <= now }
+        return peers.values
+            .filter { it.reachable && it.suspectAt <= now }
+            .map {
+                it.reachable = false
+                MembershipEvent.BecameUnreachable(it.row.instance)
+            }
+    }
+
+    /** Returns the own view first, then every known instance. */
+    public fun views(): List<InstanceView> =
+        listOf(view(ownRow, true)) + peers.values.map { view(it.row, it.reachable) }
+
+    /** Returns the reachable instances, this one included. */
+    public fun live(): List<InstanceView> = views().filter { it.reachable }
+
+    /** Returns the reachable instances without this one. */
+    public fun reachablePeers(): List<InstanceView> = live().drop(1)
+
+    /** Returns the instance that is known at [address], or null. */
+    public fun find(address: InstanceAddress): InstanceView? =
+        if (address == self.address) view(ownRow, true) else peers[address]?.let { view(it.row, it.reachable) }
+
+    /** Returns whether a later incarnation than [instance] was seen at its address, so that the process has ended. */
+    public fun isReplaced(instance: InstanceId): Boolean =
+        find(instance.address)?.let { it.instance.incarnation > instance.incarnation } ?: false
+
+    /**
+     * Returns the rows of the next gossip message, at most [limit]: the own row, then the least recently sent ones.
+     * Rows of unreachable instances are not sent, so that a dead row does not return to instances that removed it.
+     */
+    public fun rowsToSend(now: Timestamp, limit: Int = ROW_LIMIT): List<InstanceRow> {
+        val due = peers.values.filter { it.reachable }.sortedBy { it.sentAt.epochMillis }.take(limit - 1)
+        due.forEach { it.sentAt = now }
+        return listOf(ownRow) + due.map { it.row }
+    }
+
+    /**
+     * Returns the addresses that the next gossip goes to: [count] random reachable peers, and one random address that
+     * is published, a seed or silent. Without it the halves of a healed partition would not find each other.
+     */
+    public fun gossipTargets(random: Random, count: Int = GOSSIP_TARGETS): List<InstanceAddress> {
+        val reachable = peers.values.filter { it.reachable }.map { it.row.instance.address }
+        val silent = (published.keys + seeds + peers.keys) - reachable.toSet() - self.address
+        return reachable.shuffled(random).take(count) + listOfNotNull(silent.randomOrNull(random))
+    }
+
+    private fun mergeOwn(row: InstanceRow): List<MembershipEvent> {
+        val known = successor?.incarnation ?: self.incarnation
+        if (row.instance.incarnation <= known) return emptyList()
+        successor = row.instance
+        return listOf(MembershipEvent.OwnAddressTaken(row.instance))
+    }
+
+    private fun merge(row: InstanceRow, now: Timestamp): List<MembershipEvent> {
+        val known = peers[row.instance.address]
+        if (known != null && !isNewer(row, known.row)) return emptyList()
+        val previous = known?.row?.instance
+        val wasReachable = known?.reachable == true && previous == row.instance
+        peers[row.instance.address] = KnownInstance(row, now + suspicion, now + removal)
+        return listOfNotNull(
+            previous?.takeIf { it != row.instance }?.let { MembershipEvent.Replaced(it, row.instance) },
+            MembershipEvent.BecameReachable(row.instance).takeUnless { wasReachable },
+        )
+    }
+
+    private fun isNewer(row: InstanceRow, known: InstanceRow): Boolean =
+        compareValuesBy(row, known, { it.instance.incarnation }, { it.heartbeat }) > 0
+
+    private fun view(row: InstanceRow, reachable: Boolean): InstanceView =
+        InstanceView(row, reachable, published[row.instance.address]?.leaving == true)
+
+    /** Default times and limits. */
+    public companion object {
+        /** Time without a heartbeat rise after which an instance is unreachable. */
+        public val SUSPICION: Duration = 1_500.milliseconds
+
+        /** Time without a heartbeat rise after which a row is removed. */
+        public val REMOVAL: Duration = 10.minutes
+
+        /** Number of rows in one gossip message. */
+        public const val ROW_LIMIT: Int = 32
+
+        /** Number of reachable peers that one gossip goes to. */
+        public const val GOSSIP_TARGETS: Int = 2
+    }
+}
+
+private class KnownInstance(val row: InstanceRow, val suspectAt: Timestamp, val removeAt: Timestamp) {
+    var reachable = true
+    var sentAt = Timestamp(0)
+}
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/PeerMessage.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/PeerMessage.kt
@@ -45,6 +45,7 @@
  * @property heartbeat counter that only the described instance raises
  * @property inForce the revision that the instance routes by
  * @property candidate the revision that the instance has read and not yet put in force
+ * @property conflicted the highest revision for which the instance knows two different contents
  */
 @Serializable
 public data class InstanceRow(
@@ -56,6 +57,7 @@
     @SerialName("h") public val heartbeat: Long,
     @SerialName("r") public val inForce: RevisionMark? = null,
     @SerialName("c") public val candidate: RevisionMark? = null,
+    @SerialName("x") public val conflicted: RevisionNumber? = null,
 )
 
 /**
@@ -76,12 +78,19 @@
     @SerialName("m") public val measuredAt: Timestamp,
 )
 
-/** Reports that a request with [digest] was running on [server] when the server crashed at [crashedAt]. */
+/**
+ * Reports that a request with [digest] was running on [server] when the server crashed at [crashedAt].
+ *
+ * @property reporter the instance that saw the crash; it alone may run the request again after a first crash
+ * @property withdrawn whether the report no longer counts: a later run completed, or an operator cleared it
+ */
 @Serializable
 public data class QuarantineEntry(
     @SerialName("d") public val digest: ContentDigest,
     @SerialName("s") public val server: BackendServerId,
     @SerialName("c") public val crashedAt: Timestamp,
+    @SerialName("r") public val reporter: InstanceAddress? = null,
+    @SerialName("w") public val withdrawn: Boolean = false,
 )
 
 /** Carries the newest rows, server summaries and crash reports that the sender knows. */
@@ -160,6 +169,9 @@
     REQUEST_DIFFERS,
     OUTCOME_UNKNOWN,
     ANSWER_NOT_RETAINED,
+
+    /** The requested permit would already have ended; no permit of the token was used so far. */
+    DEADLINE_PASSED,
 }
 
 /** Holds the answer of a plain service, as it is given to a caller that repeats its request. */
