Keep gossip order across merges and count conflicts per revision

Cause: a merged row lost the number of its last sending, so in a fleet of more than 32 instances the first rows of the table were sent again and again and the others never. A process that resumes after a pause took all its peers for silent. One conflict was counted more than once.

Ruled out: checking the attempt id as well as the permit number when a permit is closed; the number alone identifies the permit.

Change: InstanceTable keeps the sending number across merges, restarts the suspicion deadlines after a pause, reports removed rows and takes failed connections. RevisionTable counts a conflict once for each revision.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/configuration/RevisionTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/configuration/RevisionTable.kt
@@ -76,7 +76,7 @@
 ) {
     private val peers = LinkedHashMap<InstanceAddress, PeerMarks>()
     private val rejected = LinkedHashSet<ContentDigest>()
-    private val conflicts = LinkedHashSet<RevisionConflict>()
+    private val conflicts = LinkedHashSet<RevisionNumber>()
     private val nextFetch = HashMap<RevisionMark, Timestamp>()
     private var pending: Candidate? = null
     private var lastTick: Timestamp? = null
@@ -91,7 +91,7 @@
     public val candidate: RevisionContent?
         get() = pending?.content
 
-    /** Number of different conflicting contents that were seen. */
+    /** Number of revisions for which different contents were seen. */
     public var conflictCount: Int = 0
         private set
 
@@ -152,10 +152,10 @@
     private fun offerValid(content: RevisionContent, now: Timestamp): List<RevisionEvent> {
         val events = mutableListOf<RevisionEvent>()
         val known = highestKnown()
+        compareWith(content.mark, events)
         when {
-            known != null && content.mark.revision < known.revision -> refuseOlder(content, events)
-            known != null && content.mark.revision == known.revision -> compareWith(content.mark, events)
-            else -> propose(content, now, events)
+            known == null || content.mark.revision > known.revision -> propose(content, now, events)
+            content.mark.revision < known.revision -> refuseOlder(content, events)
         }
         if (active?.mark != content.mark && isActiveAtPeer(content.mark)) adopt(content, events)
         return events + changedMarks()
@@ -216,7 +216,7 @@
     }
 
     private fun conflict(own: RevisionMark, other: ContentDigest?, events: MutableList<RevisionEvent>) {
-        if (!conflicts.add(RevisionConflict(own.revision, setOfNotNull(own.digest, other)))) return
+        if (!conflicts.add(own.revision)) return
         if (conflicts.size > MAXIMUM_REMEMBERED) conflicts.remove(conflicts.first())
         conflictCount += 1
         events += RevisionEvent.Conflict(own, other)
@@ -309,5 +309,3 @@
 }
 
 private class Candidate(val content: RevisionContent, var deadline: Timestamp)
-
-private data class RevisionConflict(val revision: RevisionNumber, val digests: Set<ContentDigest>)
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
@@ -31,6 +31,9 @@
     /** A later incarnation runs at the address of [previous], so that process has ended. */
     public data class Replaced(public val previous: InstanceId, public val current: InstanceId) : MembershipEvent
 
+    /** The row of an instance that has been unreachable for long was removed. */
+    public data class Removed(public val instance: InstanceId) : MembershipEvent
+
     /** A later incarnation runs at the own address; this process must stop serving. */
     public data class OwnAddressTaken(public val current: InstanceId) : MembershipEvent
 }
@@ -50,6 +53,8 @@
     private val removal: Duration = REMOVAL,
 ) {
     private val peers = LinkedHashMap<InstanceAddress, KnownInstance>()
+    private var sendings = 0L
+    private var lastTick: Timestamp? = null
     private var published = emptyMap<InstanceAddress, PublishedInstance>()
 
     /** The row of this process. */
@@ -89,15 +94,17 @@
         published = list.associateBy { it.address }
     }
 
+    /** Marks the instance at [address] unreachable until its heartbeat rises, after a connection to it failed. */
+    public fun markUnreachable(address: InstanceAddress): List<MembershipEvent> =
+        listOfNotNull(peers[address]).filter { it.reachable }.map { unreachable(it) }
+
     /** Marks instances unreachable whose suspicion deadline has passed, and removes rows that are long gone. */
     public fun tick(now: Timestamp): List<MembershipEvent> {
-        peers.values.removeIf { it.removeAt <= now }
-        return peers.values
-            .filter { it.reachable && it.suspectAt <= now }
-            .map {
-                it.reachable = false
-                MembershipEvent.BecameUnreachable(it.row.instance)
-            }
+        extendSuspicionAfterPause(now)
+        val removed = peers.values.filter { it.removeAt <= now }
+        removed.forEach { peers.remove(it.row.instance.address) }
+        val silent = peers.values.filter { it.reachable && it.suspectAt <= now }
+        return removed.map { MembershipEvent.Removed(it.row.instance) } + silent.map { unreachable(it) }
     }
 
     /** Returns the own view first, then every known instance. */
@@ -110,6 +117,10 @@
     /** Returns the reachable instances without this one. */
     public fun reachablePeers(): List<InstanceView> = live().drop(1)
 
+    /** Returns the published instances that have no gossip row; nothing is known of them but the list. */
+    public fun silentPublished(): List<PublishedInstance> =
+        published.values.filter { it.address != self.address && it.address !in peers }
+
     /** Returns the instance that is known at [address], or null. */
     public fun find(address: InstanceAddress): InstanceView? =
         if (address == self.address) view(ownRow, true) else peers[address]?.let { view(it.row, it.reachable) }
@@ -122,9 +133,10 @@
      * Returns the rows of the next gossip message, at most [limit]: the own row, then the least recently sent ones.
      * Rows of unreachable instances are not sent, so that a dead row does not return to instances that removed it.
      */
-    public fun rowsToSend(now: Timestamp, limit: Int = ROW_LIMIT): List<InstanceRow> {
-        val due = peers.values.filter { it.reachable }.sortedBy { it.sentAt.epochMillis }.take(limit - 1)
-        due.forEach { it.sentAt = now }
+    public fun rowsToSend(limit: Int = ROW_LIMIT): List<InstanceRow> {
+        val due = peers.values.filter { it.reachable }.sortedBy { it.lastSending }.take(limit - 1)
+        sendings += 1
+        due.forEach { it.lastSending = sendings }
         return listOf(ownRow) + due.map { it.row }
     }
 
@@ -150,13 +162,27 @@
         if (known != null && !isNewer(row, known.row)) return emptyList()
         val previous = known?.row?.instance
         val wasReachable = known?.reachable == true && previous == row.instance
-        peers[row.instance.address] = KnownInstance(row, now + suspicion, now + removal)
+        val lastSending = known?.lastSending ?: 0L
+        peers[row.instance.address] = KnownInstance(row, now + suspicion, now + removal, lastSending)
         return listOfNotNull(
             previous?.takeIf { it != row.instance }?.let { MembershipEvent.Replaced(it, row.instance) },
             MembershipEvent.BecameReachable(row.instance).takeUnless { wasReachable },
         )
     }
 
+    private fun unreachable(known: KnownInstance): MembershipEvent {
+        known.reachable = false
+        return MembershipEvent.BecameUnreachable(known.row.instance)
+    }
+
+    /** A paused process received no gossip, so its peers' silence meanwhile means nothing. */
+    private fun extendSuspicionAfterPause(now: Timestamp) {
+        val previous = lastTick
+        lastTick = now
+        if (previous == null || now - previous <= TICK_GAP_LIMIT) return
+        peers.values.filter { it.reachable }.forEach { it.suspectAt = now + suspicion }
+    }
+
     private fun isNewer(row: InstanceRow, known: InstanceRow): Boolean =
         compareValuesBy(row, known, { it.instance.incarnation }, { it.heartbeat }) > 0
 
@@ -176,10 +202,16 @@
 
         /** Number of reachable peers that one gossip goes to. */
         public const val GOSSIP_TARGETS: Int = 2
+
+        private val TICK_GAP_LIMIT = 500.milliseconds
     }
 }
 
-private class KnownInstance(val row: InstanceRow, val suspectAt: Timestamp, val removeAt: Timestamp) {
+private class KnownInstance(
+    val row: InstanceRow,
+    var suspectAt: Timestamp,
+    val removeAt: Timestamp,
+    var lastSending: Long,
+) {
     var reachable = true
-    var sentAt = Timestamp(0)
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/permit/PermitTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/permit/PermitTable.kt
@@ -50,7 +50,7 @@
 
     /** Number of permits that a holder has and whose deadline has not passed. */
     public val runningCount: Int
-        get() = records.values.count { it.state is PermitState.Permitted }
+        get() = records.values.count { it.currentState(clock) is PermitState.Permitted }
 
     /** Latest expiry of the tokens that have a record; null when there is none. */
     public val latestExpiry: Timestamp?
@@ -73,7 +73,7 @@
     public fun close(close: PermitClose, now: Timestamp) {
         tick(now)
         val record = records[close.key] ?: return
-        if (record.permit != close.permit || record.attempt != close.attempt) return
+        if (record.permit != close.permit) return
         record.state = stateAfter(record.state, close.result)
     }
 
@@ -114,7 +114,7 @@
         }
 
     private fun repeatOrWait(record: PermitRecord, state: PermitState.Permitted, request: PermitRequest): PermitReply =
-        if (state.holder == request.holder && record.attempt == request.attempt) {
+        if (state.holder == request.holder && state.attempt == request.attempt) {
             PermitReply.Granted(record.permit, state.deadline)
         } else {
             PermitReply.Running(state.deadline)
@@ -124,8 +124,7 @@
         val deadline = minOf(request.permitDeadline, record.expiry)
         lastPermit += 1
         record.permit = lastPermit
-        record.attempt = request.attempt
-        record.state = PermitState.Permitted(request.holder, deadline)
+        record.state = PermitState.Permitted(request.holder, request.attempt, deadline)
         return PermitReply.Granted(lastPermit, deadline)
     }
 
@@ -149,7 +148,6 @@
 
 private class PermitRecord(val requestDigest: ContentDigest, val expiry: Timestamp) {
     var permit: Long = 0
-    var attempt: AttemptId? = null
     var state: PermitState = PermitState.Unused
 
     /** Returns the state at [now]: a permit past its deadline is overdue. */
@@ -164,7 +162,7 @@
     /** The last permit was returned and nothing was written. */
     data object Unused : PermitState
 
-    data class Permitted(val holder: InstanceId, val deadline: Timestamp) : PermitState
+    data class Permitted(val holder: InstanceId, val attempt: AttemptId, val deadline: Timestamp) : PermitState
 
     class Answered(val answer: RecordedAnswer) : PermitState
 
