Add reservations, server speeds, placement and the retry budget

Ruled out: an owner that grants prefill by slots, because a long prompt costs hundreds of times a short one; a queue that is cut only at the start deadline, because the entry then learns too late that it has to go elsewhere.

No tests yet.

--- /dev/null
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/reservation/EndedAttempts.kt
@@ -0,0 +1,36 @@
+/*
+ * The attempts that were released recently. A late duplicate of their request or report must not hold a slot again.
+ */
+package org.arbutusnotch.core.reservation
+
+import org.arbutusnotch.core.id.AttemptId
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Remembers released attempts for [MEMORY], at most [CAPACITY] of them. */
+internal class EndedAttempts {
+    private val deadlines = LinkedHashMap<Key, Timestamp>()
+
+    fun add(server: BackendServerId, attempt: AttemptId, now: Timestamp) {
+        val key = Key(server, attempt)
+        deadlines.remove(key)
+        deadlines[key] = now + MEMORY
+        if (deadlines.size > CAPACITY) deadlines.remove(deadlines.keys.first())
+    }
+
+    fun contains(server: BackendServerId, attempt: AttemptId): Boolean = Key(server, attempt) in deadlines
+
+    fun expire(now: Timestamp) {
+        val iterator = deadlines.values.iterator()
+        while (iterator.hasNext() && iterator.next() <= now) iterator.remove()
+    }
+
+    private data class Key(val server: BackendServerId, val attempt: AttemptId)
+
+    private companion object {
+        const val CAPACITY = 16_384
+        val MEMORY: Duration = 5.seconds
+    }
+}
--- /dev/null
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/reservation/Reservation.kt
@@ -0,0 +1,34 @@
+/*
+ * The rows of the reservation table: reservations that hold resources and requests that wait for them.
+ */
+package org.arbutusnotch.core.reservation
+
+import org.arbutusnotch.core.id.AttemptId
+import org.arbutusnotch.core.id.InstanceId
+import org.arbutusnotch.core.message.ReserveRequest
+import org.arbutusnotch.core.time.Timestamp
+
+/**
+ * Describes a reservation that holds resources of a backend server.
+ *
+ * @property work uncached prompt tokens for prefill, expected output tokens for decode, 1 for a service call
+ * @property grantedAt time of the grant or of the adoption
+ * @property deadline time at which the reservation ends unless a report renews it
+ */
+public data class Reservation(
+    public val attempt: AttemptId,
+    public val holder: InstanceId,
+    public val priority: Int,
+    public val work: Int,
+    public val grantedAt: Timestamp,
+    public val deadline: Timestamp,
+)
+
+/** Describes a request that waits; [sequence] is its order of arrival. */
+internal data class QueuedReservation(val request: ReserveRequest, val sequence: Long)
+
+/** Orders waiting requests: highest priority, then earliest start deadline, then order of arrival. */
+internal val queueOrder: Comparator<QueuedReservation> =
+    compareByDescending<QueuedReservation> { it.request.priority }
+        .thenBy { it.request.startDeadline }
+        .thenBy { it.sequence }
--- /dev/null
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/retry/RetryBudget.kt
@@ -0,0 +1,63 @@
+/*
+ * Limits retries to a part of the first attempts, so that retries cannot multiply the load of an overloaded pool.
+ */
+package org.arbutusnotch.core.retry
+
+import org.arbutusnotch.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Counts first attempts and retries in a sliding window. */
+public class RetryBudget {
+    private val buckets = ArrayDeque<Bucket>()
+
+    /** Records a first attempt at [now]. */
+    public fun recordFirstAttempt(now: Timestamp) {
+        current(now).firstAttempts++
+    }
+
+    /** Returns the number of retries that may start at [now]. */
+    public fun available(now: Timestamp): Int {
+        discardOld(now)
+        val allowed = buckets.sumOf { it.firstAttempts } / FIRST_ATTEMPTS_PER_RETRY + FIXED_ALLOWANCE
+        return (allowed - buckets.sumOf { it.retries }).coerceAtLeast(0)
+    }
+
+    /** Takes one retry from the budget; returns false and takes nothing when it is spent. */
+    public fun take(now: Timestamp): Boolean {
+        if (available(now) == 0) return false
+        current(now).retries++
+        return true
+    }
+
+    private fun current(now: Timestamp): Bucket {
+        discardOld(now)
+        val start = now.epochMillis.floorDiv(BUCKET.inWholeMilliseconds)
+        val last = buckets.lastOrNull()
+        if (last != null && last.number >= start) return last
+        return Bucket(start).also { buckets.addLast(it) }
+    }
+
+    private fun discardOld(now: Timestamp) {
+        val oldest = (now - WINDOW).epochMillis.floorDiv(BUCKET.inWholeMilliseconds)
+        while (buckets.isNotEmpty() && buckets.first().number <= oldest) buckets.removeFirst()
+    }
+
+    private class Bucket(val number: Long) {
+        var firstAttempts = 0
+        var retries = 0
+    }
+
+    public companion object {
+        /** One retry is allowed for this many first attempts. */
+        public const val FIRST_ATTEMPTS_PER_RETRY: Int = 10
+
+        /** Retries that are allowed in each window without first attempts. */
+        public const val FIXED_ALLOWANCE: Int = 3
+
+        /** Time over which first attempts and retries are counted. */
+        public val WINDOW: Duration = 10.seconds
+
+        private val BUCKET: Duration = 1.seconds
+    }
+}
--- /dev/null
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/straggler/ServerTable.kt
@@ -0,0 +1,186 @@
+/*
+ * The observed speed and availability of all backend servers, on each instance.
+ *
+ * Noisy neighbours slow a server by a factor of five for one to five seconds, and load reports show it two seconds
+ * late. Therefore the measurements of the instance's own requests decide first, then the summaries of the owners.
+ */
+package org.arbutusnotch.core.straggler
+
+import org.arbutusnotch.core.configuration.DeploymentConfiguration
+import org.arbutusnotch.core.configuration.PoolKind
+import org.arbutusnotch.core.configuration.ServerState
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.PoolId
+import org.arbutusnotch.core.message.ReservationKind
+import org.arbutusnotch.core.message.ServerSummary
+import org.arbutusnotch.core.reservation.LoadReport
+import org.arbutusnotch.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Compares the servers of each pool, excludes slow ones and keeps failed ones out of use for a while. */
+public class ServerTable {
+    private val rows = LinkedHashMap<BackendServerId, ServerRow>()
+    private var pools: Map<PoolId, List<ServerRow>> = emptyMap()
+
+    /** Applies the servers of [configuration]; what is known of servers that stay is kept. */
+    public fun configure(configuration: DeploymentConfiguration) {
+        val kinds = configuration.pools.associate { it.name to it.kind }
+        val previous = rows.toMap()
+        rows.clear()
+        configuration.servers.forEach { definition ->
+            val kind = kinds[definition.pool]?.toReservationKind() ?: return@forEach
+            val perUnit = defaultPerUnit(kind, configuration)
+            val row = previous[definition.address]?.takeIf { it.kind == kind } ?: ServerRow(definition, kind, perUnit)
+            row.definition = definition
+            row.defaultPerUnit = perUnit
+            rows[definition.address] = row
+        }
+        pools = rows.values.groupBy { it.definition.pool }
+    }
+
+    /** Records that a decode stream of this instance received [tokens] output tokens in [elapsed]. */
+    public fun observeTokens(server: BackendServerId, tokens: Int, elapsed: Duration, now: Timestamp) {
+        rows[server]?.observe(WorkUnits.of(ReservationKind.DECODE, tokens), elapsed, tokens, now)
+    }
+
+    /** Records that a prefill of [uncachedTokens] took [elapsed], without the wait for other prefills. */
+    public fun observePrefill(server: BackendServerId, uncachedTokens: Int, elapsed: Duration, now: Timestamp) {
+        rows[server]?.observe(WorkUnits.of(ReservationKind.PREFILL, uncachedTokens), elapsed, 1, now)
+    }
+
+    /** Records that a service call took [elapsed]. */
+    public fun observeCall(server: BackendServerId, elapsed: Duration, now: Timestamp) {
+        rows[server]?.observe(1.0, elapsed, 1, now)
+    }
+
+    /**
+     * Records that [requests] requests of this instance wait for [work] since at least [silence]: for one output
+     * token of a stream, for a prefill of that many uncached tokens, or for a service call. It counts as if they had
+     * ended now and is forgotten after 100 ms, so it has to be repeated on each tick.
+     */
+    public fun observeSilence(
+        server: BackendServerId,
+        requests: Int,
+        silence: Duration,
+        now: Timestamp,
+        work: Int = 1,
+    ) {
+        val row = rows[server] ?: return
+        row.observeSilence(requests, silence / WorkUnits.of(row.kind, work), now)
+    }
+
+    /** Merges the summary of an owner; the one that was measured last wins. */
+    public fun merge(summary: ServerSummary) {
+        rows[summary.server]?.merge(summary)
+    }
+
+    /** Merges the load that [server] reports of itself. */
+    public fun merge(server: BackendServerId, report: LoadReport) {
+        rows[server]?.merge(report)
+    }
+
+    /** Records that this instance sent [work] to [server], until a summary shows it. */
+    public fun recordPlaced(server: BackendServerId, work: Int, now: Timestamp) {
+        rows[server]?.place(work, now)
+    }
+
+    /** Records a connection error; the server is not used until a backoff has passed that doubles on each error. */
+    public fun recordFailure(server: BackendServerId, now: Timestamp) {
+        rows[server]?.fail(now)
+    }
+
+    /** Records that [server] answered; its backoff ends. */
+    public fun recordSuccess(server: BackendServerId) {
+        rows[server]?.succeed()
+    }
+
+    /** Records that an excluded [server] gets a request; the next probe is due a second later. */
+    public fun claimProbe(server: BackendServerId, now: Timestamp) {
+        rows[server]?.claimProbe(now)
+    }
+
+    /** Excludes slow servers and returns those whose speed is back. */
+    public fun tick(now: Timestamp): List<StragglerDecision> = pools.values.flatMap { compare(it, now) }
+
+    private fun compare(pool: List<ServerRow>, now: Timestamp): List<StragglerDecision> {
+        val usable = pool.filter { it.isUsable(now) }
+        val median = median(usable, now)
+        val wanted = usable.filter { it.isSlow(median, now) }.sortedByDescending { it.measured(now) }
+        val excluded = wanted.take(usable.size / EXCLUDED_PART).toSet()
+        val returned = pool.filter { it.excludedSince != null && it !in excluded }.map { row ->
+            row.returnToPool()
+            StragglerDecision.Returned(row.definition.address, returnReason(row, row in wanted, now))
+        }
+        val added = excluded.filter { it.excludedSince == null }.map { row ->
+            row.exclude(now)
+            StragglerDecision.Excluded(
+                row.definition.address,
+                row.measured(now) ?: Duration.ZERO,
+                median ?: Duration.ZERO,
+            )
+        }
+        return returned + added
+    }
+
+    private fun ServerRow.isUsable(now: Timestamp): Boolean = definition.state == ServerState.LIVE && !isFailed(now)
+
+    private fun ServerRow.isSlow(median: Duration?, now: Timestamp): Boolean {
+        val perUnit = measured(now) ?: return false
+        if (median == null) return false
+        return perUnit > median * if (excludedSince == null) SLOW_RATIO else RETURN_RATIO
+    }
+
+    private fun returnReason(row: ServerRow, slow: Boolean, now: Timestamp): ReturnReason = when {
+        slow -> ReturnReason.LIMIT
+        row.measured(now) == null -> ReturnReason.NOT_MEASURED
+        else -> ReturnReason.SPEED_IS_BACK
+    }
+
+    private fun median(rows: List<ServerRow>, now: Timestamp): Duration? {
+        val measured = rows.mapNotNull { it.measured(now) }.sorted()
+        return measured.getOrNull((measured.size - 1) / 2)
+    }
+
+    /** Returns the median time for one unit of work in [pool]; null when nothing was measured lately. */
+    public fun poolMedian(pool: PoolId, now: Timestamp): Duration? =
+        median(pools[pool].orEmpty().filter { it.isUsable(now) }, now)
+
+    /** Returns the servers of [pool] as they are known at [now]. */
+    public fun servers(pool: PoolId, now: Timestamp): List<ServerView> {
+        val members = pools[pool].orEmpty()
+        val median = poolMedian(pool, now)
+        return members.map { it.view(now, expected = median ?: it.defaultPerUnit) }
+    }
+
+    /** Returns what is known of [server] at [now]; null when the configuration does not name it. */
+    public fun server(server: BackendServerId, now: Timestamp): ServerView? {
+        val row = rows[server] ?: return null
+        return row.view(now, expected = poolMedian(row.definition.pool, now) ?: row.defaultPerUnit)
+    }
+
+    private fun defaultPerUnit(kind: ReservationKind, configuration: DeploymentConfiguration): Duration = when (kind) {
+        ReservationKind.DECODE -> configuration.targets.betweenTokens
+        ReservationKind.PREFILL -> DEFAULT_PREFILL_TIME
+        ReservationKind.SERVICE -> DEFAULT_CALL_TIME
+    }
+
+    private companion object {
+        /** At most one server of this many is excluded. */
+        const val EXCLUDED_PART = 3
+
+        const val SLOW_RATIO = 2.0
+
+        /** Lower than [SLOW_RATIO], so that a server near the limit does not alternate. */
+        const val RETURN_RATIO = 1.5
+
+        val DEFAULT_PREFILL_TIME: Duration = 50.milliseconds
+        val DEFAULT_CALL_TIME: Duration = 50.milliseconds
+    }
+}
+
+internal fun PoolKind.toReservationKind(): ReservationKind = when (this) {
+    PoolKind.PREFILL -> ReservationKind.PREFILL
+    PoolKind.DECODE -> ReservationKind.DECODE
+    PoolKind.SERVICE -> ReservationKind.SERVICE
+}
