--- /dev/null
+++ b/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/DaemonSettingsReader.kt
@@ -0,0 +1,126 @@
+/*
+ * Reads the settings file of a daemon.
+ */
+package org.arbutusnotch.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import org.arbutusnotch.core.id.FailureDomainId
+import org.arbutusnotch.core.id.Incarnation
+import org.arbutusnotch.core.id.InstanceAddress
+import org.tomlj.TomlPosition
+import org.tomlj.TomlTable
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.time.Duration.Companion.seconds
+
+/** Reads [DaemonSettings] from TOML and reports every error of the file. */
+public object DaemonSettingsReader {
+    /** Reads the file at [path]; a file that cannot be read is an error like any other. */
+    public fun read(path: Path): Result<DaemonSettings, List<SettingsError>> =
+        readFile(path).andThen { bytes -> read(bytes, path.toString()) }
+
+    /** Reads [text]; errors name [fileName]. */
+    public fun read(text: String, fileName: String): Result<DaemonSettings, List<SettingsError>> =
+        read(text.toByteArray(), fileName)
+
+    /** Reads [bytes]; errors name [fileName]. */
+    public fun read(bytes: ByteArray, fileName: String): Result<DaemonSettings, List<SettingsError>> =
+        parseToml(bytes, fileName).andThen { document -> readDocument(document, fileName) }
+
+    private fun readDocument(document: TomlTable, fileName: String): Result<DaemonSettings, List<SettingsError>> {
+        val errors = mutableListOf<SettingsError>()
+        val settings = TomlTableReader(fileName, document, "", DOCUMENT_START, errors).daemonSettings()
+        return if (settings == null || errors.isNotEmpty()) Err(errors.inFileOrder()) else Ok(settings)
+    }
+}
+
+/** Where errors about keys that the whole document lacks point. */
+internal val DOCUMENT_START: TomlPosition = TomlPosition.positionAt(1, 1)
+
+internal fun List<SettingsError>.inFileOrder(): List<SettingsError> =
+    sortedWith(compareBy(SettingsError::line, SettingsError::column))
+
+/** Reads at most one byte more than a settings file may have, so that a huge file is refused and not loaded. */
+internal fun readFile(path: Path): Result<ByteArray, List<SettingsError>> = try {
+    Ok(Files.newInputStream(path).use { input -> input.readNBytes(MAXIMUM_FILE_BYTES + 1) })
+} catch (exception: IOException) {
+    val found = "${exception.javaClass.simpleName}: ${exception.message}"
+    Err(listOf(SettingsError(path.toString(), 1, 1, "", found, "a readable file")))
+}
+
+private fun TomlTableReader.daemonSettings(): DaemonSettings? {
+    val instance = table("instance").instanceSettings()
+    val platform = table("platform").platformSettings()
+    val limits = table("limits").limitSettings()
+    val routing = table("routing").routingSettings()
+    val seed = table("seed").seedSettings()
+    rejectOtherKeys()
+    if (instance == null || platform == null || routing == null) return null
+    return DaemonSettings(instance, platform, limits, routing, seed)
+}
+
+private fun TomlTableReader.instanceSettings(): InstanceSettings? {
+    val entry = text("entry_address", TextForm.ADDRESS)
+    val peer = text("peer_address", TextForm.ADDRESS)
+    val operator = text("operator_address", TextForm.ADDRESS)
+    val failureDomain = text("failure_domain", TextForm.NAME)
+    val incarnation = if (has("incarnation")) long("incarnation", DaemonRanges.INCARNATION) else null
+    rejectOtherKeys()
+    return InstanceSettings(
+        entryAddress = entry ?: return null,
+        peerAddress = InstanceAddress(peer ?: return null),
+        operatorAddress = operator ?: return null,
+        failureDomain = FailureDomainId(failureDomain ?: return null),
+        incarnation = incarnation?.let(::Incarnation),
+    )
+}
+
+private fun TomlTableReader.platformSettings(): PlatformSettings? {
+    val address = text("address", TextForm.ADDRESS)
+    rejectOtherKeys()
+    return address?.let(::PlatformSettings)
+}
+
+private fun TomlTableReader.limitSettings(): LimitSettings {
+    val defaults = LimitSettings()
+    val limits = LimitSettings(
+        headerBytes = limit("header_bytes", DaemonRanges.HEADER_BYTES, defaults.headerBytes),
+        bodyBytes = limit("body_bytes", DaemonRanges.BODY_BYTES, defaults.bodyBytes),
+        promptTokens = limit("prompt_tokens", DaemonRanges.PROMPT_TOKENS, defaults.promptTokens),
+        bodyTimeout = limit(
+            "body_seconds",
+            DaemonRanges.BODY_SECONDS,
+            defaults.bodyTimeout.inWholeSeconds.toInt(),
+        ).seconds,
+        permitRecords = limit("permit_records", DaemonRanges.PERMIT_RECORDS, defaults.permitRecords),
+        answerBytes = limit("answer_bytes", DaemonRanges.ANSWER_BYTES, defaults.answerBytes),
+        workerThreads = limit("worker_threads", DaemonRanges.WORKER_THREADS, defaults.workerThreads),
+        drainTimeout = limit(
+            "drain_seconds",
+            DaemonRanges.DRAIN_SECONDS,
+            defaults.drainTimeout.inWholeSeconds.toInt(),
+        ).seconds,
+    )
+    rejectOtherKeys()
+    return limits
+}
+
+/** Returns the default for a value that was reported, so that reading goes on; the settings are then not returned. */
+private fun TomlTableReader.limit(key: String, range: IntRange, default: Int): Int = int(key, range, default) ?: default
+
+private fun TomlTableReader.routingSettings(): RoutingSettings? {
+    val names = RoutingPolicyName.entries.associateBy(RoutingPolicyName::code)
+    val policy = choice("policy", names, RoutingSettings().policy)
+    rejectOtherKeys()
+    return policy?.let(::RoutingSettings)
+}
+
+private fun TomlTableReader.seedSettings(): SeedSettings {
+    val peers = texts("peers", TextForm.ADDRESS)
+    rejectOtherKeys()
+    return SeedSettings(peers.map(::InstanceAddress))
+}
