--- /dev/null
+++ b/arbutusnotch-peer/src/main/kotlin/org/arbutusnotch/peer/PeerTraffic.kt
@@ -0,0 +1,64 @@
+/*
+ * Counts the control traffic of an instance by message type.
+ */
+package org.arbutusnotch.peer
+
+import org.arbutusnotch.core.message.PeerMessage
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.LongAdder
+
+/**
+ * Holds the traffic of one message type since the start of the transport.
+ *
+ * @property type serial name of the message type
+ * @property bytesIn received bytes, including the length prefix of each frame and excluding TCP and IP headers
+ * @property bytesOut sent bytes, counted like [bytesIn]
+ */
+public data class MessageTraffic(
+    public val type: String,
+    public val messagesIn: Long,
+    public val bytesIn: Long,
+    public val messagesOut: Long,
+    public val bytesOut: Long,
+)
+
+/** Counts the messages and bytes that a [PeerTransport] sends and receives. */
+public class PeerTraffic internal constructor() {
+    private val counts = ConcurrentHashMap<String, Counts>()
+
+    /** Returns the traffic of every message type seen so far, ordered by type. */
+    public fun snapshot(): List<MessageTraffic> = counts
+        .map { (type, counts) -> counts.toTraffic(type) }
+        .sortedBy { it.type }
+
+    internal fun received(message: PeerMessage?, bytes: Int) {
+        val count = countsOf(message)
+        count.messagesIn.increment()
+        count.bytesIn.add(bytes.toLong())
+    }
+
+    internal fun sent(message: PeerMessage?, bytes: Int) {
+        val count = countsOf(message)
+        count.messagesOut.increment()
+        count.bytesOut.add(bytes.toLong())
+    }
+
+    private fun countsOf(message: PeerMessage?): Counts {
+        val type = if (message == null) NOT_PROCESSED_TYPE else messageType(message)
+        return counts.computeIfAbsent(type) { Counts() }
+    }
+
+    private class Counts {
+        val messagesIn = LongAdder()
+        val bytesIn = LongAdder()
+        val messagesOut = LongAdder()
+        val bytesOut = LongAdder()
+
+        fun toTraffic(type: String) =
+            MessageTraffic(type, messagesIn.sum(), bytesIn.sum(), messagesOut.sum(), bytesOut.sum())
+    }
+
+    private companion object {
+        const val NOT_PROCESSED_TYPE = "not-processed"
+    }
+}
