--- /dev/null
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
@@ -0,0 +1,280 @@
+/*
+ * One instance: it starts the control loop, the peer transport, the HTTP interfaces and the periodic work, and ends them.
+ */
+package org.arbutusnotch.daemon
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.common.util.EventLoopGroups
+import com.linecorp.armeria.server.Server
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.future.await
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.arbutusnotch.core.configuration.RevisionEvent
+import org.arbutusnotch.core.id.InstanceAddress
+import org.arbutusnotch.core.membership.DrainState
+import org.arbutusnotch.core.membership.EntryPointList
+import org.arbutusnotch.core.membership.MembershipEvent
+import org.arbutusnotch.core.message.ConfigurationContent
+import org.arbutusnotch.core.message.ConfigurationFetch
+import org.arbutusnotch.daemon.backend.BackendSupervisor
+import org.arbutusnotch.daemon.backend.EngineClient
+import org.arbutusnotch.daemon.backend.SUPERVISION_INTERVAL
+import org.arbutusnotch.daemon.backend.ServiceClient
+import org.arbutusnotch.daemon.control.Clock
+import org.arbutusnotch.daemon.control.ConfigurationIntake
+import org.arbutusnotch.daemon.control.ControlEvent
+import org.arbutusnotch.daemon.control.ControlLoop
+import org.arbutusnotch.daemon.control.ControlState
+import org.arbutusnotch.daemon.control.MonotonicClock
+import org.arbutusnotch.daemon.control.PendingReservations
+import org.arbutusnotch.daemon.control.SlotOwnerService
+import org.arbutusnotch.daemon.control.TICK_INTERVAL
+import org.arbutusnotch.daemon.control.TickSystems
+import org.arbutusnotch.daemon.entry.EntryContext
+import org.arbutusnotch.daemon.entry.EntryServer
+import org.arbutusnotch.daemon.entry.PermitGateway
+import org.arbutusnotch.daemon.entry.REPORT_INTERVAL
+import org.arbutusnotch.daemon.entry.ReservationGateway
+import org.arbutusnotch.daemon.entry.StreamReporter
+import org.arbutusnotch.daemon.operator.operatorServices
+import org.arbutusnotch.daemon.peer.GOSSIP_INTERVAL
+import org.arbutusnotch.daemon.peer.GossipExchange
+import org.arbutusnotch.daemon.peer.GossipRound
+import org.arbutusnotch.daemon.peer.PeerMessageHandler
+import org.arbutusnotch.daemon.platform.ConfigurationUpdate
+import org.arbutusnotch.daemon.platform.InstanceListUpdate
+import org.arbutusnotch.daemon.platform.PlatformClient
+import org.arbutusnotch.daemon.telemetry.Counters
+import org.arbutusnotch.daemon.telemetry.EventLog
+import org.arbutusnotch.peer.PeerTransport
+import org.arbutusnotch.settings.DaemonSettings
+import java.net.InetSocketAddress
+import java.util.concurrent.CompletionException
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import org.arbutusnotch.daemon.telemetry.RevisionEvent as CountedRevisionEvent
+
+/** Describes why an instance did not start. */
+internal data class StartError(val message: String)
+
+/** Runs the instance that [settings] describe. */
+internal class Daemon(private val settings: DaemonSettings) : AutoCloseable {
+    private val log = EventLog("daemon")
+    private val clock: Clock = MonotonicClock()
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val state = ControlState(settings, clock.now(), Random(System.nanoTime()))
+    private val loop = ControlLoop(state, ::stopOnBrokenInvariant)
+    private val systems = TickSystems(state, clock.now())
+    private val counters = Counters()
+    private val transport = PeerTransport()
+    private val clientFactory = ClientFactory.builder().workerGroup(settings.limits.workerThreads).build()
+    private val engine = EngineClient(clientFactory, clock::now)
+    private val services = ServiceClient(clientFactory, clock = clock::now)
+    private val pending = PendingReservations()
+    private val slotOwner = SlotOwnerService(loop, clock, pending)
+    private val gossip = GossipExchange(loop, clock, systems)
+    private val configuration = ConfigurationIntake(loop, clock, systems, ::handle)
+    private val supervisor = BackendSupervisor(loop, clock, engine, services, pending, counters)
+    private val reporter = StreamReporter(loop, transport, slotOwner)
+    private val ended = CompletableDeferred<DrainState.Done>()
+    private val entry = EntryContext(
+        self = state.self,
+        loop = loop,
+        clock = clock,
+        engine = engine,
+        services = services,
+        reservations = ReservationGateway(loop, clock, transport, slotOwner, scope),
+        permits = PermitGateway(loop, clock, transport, scope),
+        reporter = reporter,
+        counters = counters,
+        background = scope,
+    )
+    private val servers = listOf(entryServer(), operatorServer())
+
+    /** Starts everything; returns an error when an address cannot be bound. */
+    suspend fun start(): Result<Unit, StartError> {
+        counters.observe(transport.traffic)
+        val handler = PeerMessageHandler(loop, clock, gossip, configuration, slotOwner, ::handle)
+        transport.start(settings.instance.peerAddress, handler::handle)
+            .fold({ }, { return Err(StartError("peer address ${it.address}: ${it.detail}")) })
+        startPeriodicWork()
+        servers.forEach { server ->
+            try {
+                server.start().await()
+            } catch (failure: CompletionException) {
+                return Err(StartError("HTTP address: ${failure.cause?.message ?: failure.message}"))
+            } catch (failure: java.io.IOException) {
+                return Err(StartError("HTTP address: ${failure.message}"))
+            }
+        }
+        log.info("started") {
+            field("instance", state.self)
+            field("entry", settings.instance.entryAddress)
+            field("operator", settings.instance.operatorAddress)
+            field("failure_domain", settings.instance.failureDomain)
+            field("policy", state.policy.code)
+        }
+        return Ok(Unit)
+    }
+
+    /** Starts a graceful shutdown; without effect when one has begun. */
+    suspend fun drain() {
+        val began = loop.run {
+            if (drain !is DrainState.Serving) return@run false
+            val now = clock.now()
+            drain = DrainState.begin(
+                listsEnd = now + VIEW_PROPAGATION + EntryPointList.VALIDITY,
+                prefixesEnd = now + VIEW_PROPAGATION + settings.limits.tokenLifetime,
+                hardDeadline = now + settings.limits.drainTimeout,
+            )
+            true
+        }
+        if (began) log.info("drain_started") { field("hard_deadline_seconds", settings.limits.drainTimeout.inWholeSeconds) }
+    }
+
+    /** Ends a graceful shutdown at once. */
+    suspend fun interrupt() {
+        val done = loop.run {
+            drain = drain.interrupt(drainWork())
+            drain
+        }
+        handle(ControlEvent.DrainChanged(done))
+    }
+
+    /** Returns when the instance has finished its shutdown. */
+    suspend fun awaitEnd(): DrainState.Done = ended.await()
+
+    override fun close() {
+        servers.forEach { it.closeAsync() }
+        scope.cancel()
+        transport.close()
+        clientFactory.closeAsync()
+        loop.close()
+    }
+
+    private fun entryServer(): Server {
+        val builder = serverBuilder(settings.instance.entryAddress)
+        EntryServer(entry, settings.limits, scope).addTo(builder)
+        return builder.build()
+    }
+
+    private fun operatorServer(): Server = serverBuilder(settings.instance.operatorAddress)
+        .operatorServices(DaemonOperatorView(state.self, loop, clock, counters, ::drain))
+        .build()
+
+    private fun serverBuilder(address: String) = Server.builder()
+        .http(InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt()))
+        .workerGroup(EventLoopGroups.newEventLoopGroup(settings.limits.workerThreads), true)
+        .gracefulShutdownTimeoutMillis(0, 0)
+
+    private fun startPeriodicWork() {
+        periodically(TICK_INTERVAL) {
+            val events = loop.run {
+                val now = clock.now()
+                reporter.observeSilence(servers, now)
+                systems.tick(now)
+            }
+            events.forEach { handle(it) }
+        }
+        periodically(GOSSIP_INTERVAL) { send(gossip.nextRound()) }
+        periodically(REPORT_INTERVAL) { reporter.report() }
+        periodically(SUPERVISION_INTERVAL) { supervisor.round() }
+        val platform = PlatformClient(clientFactory, settings.platform.address)
+        scope.launch { platform.watchConfiguration().collect { take(it) } }
+        scope.launch { platform.watchInstances().collect { take(it) } }
+    }
+
+    private fun periodically(interval: Duration, action: suspend () -> Unit) {
+        scope.launch {
+            while (isActive) {
+                val startedAt = clock.now()
+                action()
+                delay(maxOf(interval - (clock.now() - startedAt), Duration.ZERO))
+            }
+        }
+    }
+
+    private suspend fun send(round: GossipRound) {
+        round.targets.forEach { target -> scope.launch { transport.request(target, round.message, GOSSIP_TIMEOUT) } }
+        gossip.urgentRound()?.let { urgent ->
+            urgent.targets.forEach { scope.launch { transport.request(it, urgent.message, GOSSIP_TIMEOUT) } }
+        }
+    }
+
+    private suspend fun take(update: ConfigurationUpdate) {
+        when (update) {
+            is ConfigurationUpdate.Content -> configuration.offer(update.bytes)
+            is ConfigurationUpdate.Unchanged -> Unit
+            is ConfigurationUpdate.Failed -> log.debug("configuration_read_failed") { field("error", update.error) }
+        }
+    }
+
+    private suspend fun take(update: InstanceListUpdate) {
+        when (update) {
+            is InstanceListUpdate.Content -> loop.run { instances.mergePublished(update.instances) }
+            is InstanceListUpdate.Failed -> log.debug("instance_list_read_failed") { field("error", update.error) }
+        }
+    }
+
+    private suspend fun handle(event: ControlEvent) {
+        logEvent(log, event)
+        when (event) {
+            is ControlEvent.Reservation -> pending.complete(event.decision)
+            is ControlEvent.Revision -> handleRevision(event.event)
+            is ControlEvent.Membership -> handleMembership(event.event)
+            is ControlEvent.DrainChanged -> (event.state as? DrainState.Done)?.let { ended.complete(it) }
+            is ControlEvent.StateChanged -> send(gossip.nextRound())
+            is ControlEvent.Straggler, is ControlEvent.TickGap -> Unit
+        }
+    }
+
+    private suspend fun handleRevision(event: RevisionEvent) {
+        when (event) {
+            is RevisionEvent.BecameActive -> counters.revision(CountedRevisionEvent.ACTIVATED)
+            is RevisionEvent.Rejected -> counters.revision(CountedRevisionEvent.INVALID)
+            is RevisionEvent.OlderRefused -> counters.revision(CountedRevisionEvent.STALE)
+            is RevisionEvent.Conflict -> counters.revision(CountedRevisionEvent.CONFLICT)
+            is RevisionEvent.MarksChanged -> sendToEveryPeer()
+            is RevisionEvent.FetchWanted -> scope.launch { configuration.fetch(event.peer, event.mark, ::fetch) }
+        }
+    }
+
+    /** Conflicting contents have to meet within the activation window, so changed marks go to every peer at once. */
+    private suspend fun sendToEveryPeer() {
+        val round = gossip.nextRound()
+        val peers = loop.run { reachablePeers() }
+        send(round.copy(targets = (round.targets + peers).distinct()))
+    }
+
+    private suspend fun fetch(peer: InstanceAddress, request: ConfigurationFetch): ConfigurationContent? =
+        transport.request(peer, request, FETCH_TIMEOUT).fold({ it as? ConfigurationContent }, { null })
+
+    private suspend fun handleMembership(event: MembershipEvent) {
+        if (event is MembershipEvent.OwnAddressTaken) interrupt()
+    }
+
+    private fun stopOnBrokenInvariant(failure: Throwable) {
+        log.error("invariant_broken", failure)
+        Runtime.getRuntime().halt(EXIT_BROKEN_INVARIANT)
+    }
+
+    private companion object {
+        const val EXIT_BROKEN_INVARIANT = 70
+        val GOSSIP_TIMEOUT: Duration = 1.seconds
+        val FETCH_TIMEOUT: Duration = 2.seconds
+
+        /** Time after which every reachable peer has seen that this instance drains. */
+        val VIEW_PROPAGATION: Duration = 3.seconds
+    }
+}
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/ControlState.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/ControlState.kt
@@ -30,6 +30,8 @@
 import org.arbutusnotch.settings.DeploymentConfigurationReader
 import com.github.michaelbull.result.mapError
 import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Holds the tables of the instance that [settings] describe. */
 internal class ControlState(
@@ -53,7 +55,7 @@
         self = self,
         capacity = settings.limits.permitRecords,
         answerByteLimit = settings.limits.answerBytes,
-        maximumTokenLifetime = settings.limits.tokenLifetime,
+        maximumTokenLifetime = settings.limits.tokenLifetime + CLOCK_DIFFERENCE,
     )
     val quarantine = QuarantineTable(self.address)
     val reservations = ReservationTable()
@@ -105,5 +107,8 @@
 
     private companion object {
         const val CONFIGURATION_NAME = "configuration"
+
+        /** Largest accepted difference between the clocks of an issuer and of the entry that returned its prefix. */
+        val CLOCK_DIFFERENCE: Duration = 30.seconds
     }
 }
--- /dev/null
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionEndpoint.kt
@@ -0,0 +1,214 @@
+/*
+ * `POST /v1/completions`: reads the request, runs it, and sends the tokens as server-sent events or as one JSON object.
+ */
+package org.arbutusnotch.daemon.entry
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpHeaders
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpResponseWriter
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.ServiceRequestContext
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import org.apache.commons.codec.digest.DigestUtils
+import org.arbutusnotch.core.id.ContentDigest
+import org.arbutusnotch.core.id.ModelId
+import org.arbutusnotch.core.outcome.RefusalReason
+import org.arbutusnotch.core.outcome.RequestOutcome
+import org.arbutusnotch.core.routing.PromptDigests
+import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.settings.LimitSettings
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Serves completions. */
+internal class CompletionEndpoint(private val entry: EntryContext, private val limits: LimitSettings) :
+    AdmittedHandler {
+    private val responder = RefusalResponder(entry)
+
+    override suspend fun handle(context: ServiceRequestContext, admitted: AdmittedRequest): HttpResponse {
+        val body = parse(admitted)
+        val work = work(admitted, body)
+        return if (body.stream) streamed(work) else whole(work)
+    }
+
+    private fun parse(admitted: AdmittedRequest): CompletionBody {
+        val body = try {
+            entryJson.decodeFromString(CompletionBody.serializer(), admitted.request.contentUtf8())
+        } catch (failure: SerializationException) {
+            throw refused(RefusalReason.MALFORMED_REQUEST, "the body is not a completion: ${failure.message}")
+        }
+        if (body.prompt.isEmpty()) throw refused(RefusalReason.MALFORMED_REQUEST, "prompt is empty")
+        if (body.maxTokens !in OUTPUT_TOKENS) {
+            throw refused(RefusalReason.MALFORMED_REQUEST, "max_tokens is ${body.maxTokens}; allowed: $OUTPUT_TOKENS")
+        }
+        val tokens = PromptDigests.tokens(body.prompt)
+        if (tokens > limits.promptTokens) {
+            val message = "the prompt has $tokens tokens; allowed: ${limits.promptTokens}"
+            throw refused(RefusalReason.REQUEST_TOO_LARGE, message)
+        }
+        return body
+    }
+
+    private fun work(admitted: AdmittedRequest, body: CompletionBody): CompletionWork {
+        val model = ModelId(body.model)
+        admitted.directory.model(model)
+            ?: throw refused(RefusalReason.UNKNOWN_ROUTE, "model ${body.model} is not configured")
+        val targets = admitted.directory.configuration.targets
+        val firstTokenDeadline = admitted.receivedAt + targets.firstToken
+        return CompletionWork(
+            id = admitted.id,
+            caller = admitted.caller,
+            model = model,
+            prompt = body.prompt,
+            promptTokens = PromptDigests.tokens(body.prompt),
+            prefixDigests = PromptDigests.prefixes(body.prompt),
+            maxTokens = body.maxTokens,
+            digest = ContentDigest(DigestUtils.sha256Hex("${body.model} ${body.maxTokens} ${body.prompt}")),
+            targets = targets,
+            receivedAt = admitted.receivedAt,
+            firstTokenDeadline = firstTokenDeadline,
+            deadline = firstTokenDeadline + targets.betweenTokens * (body.maxTokens * DEADLINE_FACTOR) + DEADLINE_ALLOWANCE,
+        )
+    }
+
+    private suspend fun whole(work: CompletionWork): HttpResponse {
+        val text = StringBuilder()
+        val latency = LatencyRecorder(entry, work)
+        val outcome = CompletionRun(entry, work) { token ->
+            latency.token()
+            text.append(token)
+        }.run()
+        if (outcome !is RequestOutcome.Answered) return responder.refuse(work.id, outcome, message(outcome))
+        entry.counters.finished(outcome)
+        val headers = ResponseHeaders.builder(HttpStatus.OK)
+            .contentType(MediaType.JSON_UTF_8)
+            .add(REQUEST_ID_HEADER, work.id.value)
+            .add(OUTCOME_HEADER, outcome.code)
+            .build()
+        val json = completionChunk(work.id, work.model.value, text.toString(), FINISH_LENGTH)
+        return HttpResponse.of(headers, HttpData.ofUtf8(json))
+    }
+
+    /** Starts the run and returns once the first token or the refusal is known, so that a refusal has its own status. */
+    private suspend fun streamed(work: CompletionWork): HttpResponse {
+        val stream = CompletionStream(entry, work)
+        val started = CompletableDeferred<HttpResponse>()
+        val job = entry.background.launch {
+            val outcome = CompletionRun(entry, work) { token -> started.complete(stream.token(token)) }.run()
+            finish(stream, outcome, work, started)
+        }
+        job.invokeOnCompletion { failure -> failure?.let { started.completeExceptionally(it) } }
+        return try {
+            started.await().also { it.cancelWhenAborted(job) }
+        } catch (failure: kotlinx.coroutines.CancellationException) {
+            job.cancel()
+            throw failure
+        }
+    }
+
+    private suspend fun finish(
+        stream: CompletionStream,
+        outcome: RequestOutcome,
+        work: CompletionWork,
+        started: CompletableDeferred<HttpResponse>,
+    ) {
+        when {
+            outcome is RequestOutcome.Answered -> {
+                entry.counters.finished(outcome)
+                stream.complete()
+            }
+
+            stream.isOpen -> stream.fail(responder.describe(work.id, outcome, message(outcome)))
+
+            else -> started.complete(responder.refuse(work.id, outcome, message(outcome)))
+        }
+    }
+
+    private fun HttpResponse.cancelWhenAborted(job: Job) {
+        whenComplete().whenComplete { _, failure -> if (failure != null) job.cancel() }
+    }
+
+    private fun message(outcome: RequestOutcome): String = when (outcome) {
+        is RequestOutcome.Answered -> ""
+        is RequestOutcome.NotRun -> "the request was not run: ${outcome.reason.code}"
+        is RequestOutcome.Unknown -> "the request may have run: ${outcome.reason.code}"
+    }
+
+    private companion object {
+        val OUTPUT_TOKENS = 1..32_768
+
+        /** A stream may take this multiple of its target before it is given up. */
+        const val DEADLINE_FACTOR = 4
+        val DEADLINE_ALLOWANCE: Duration = 10.seconds
+    }
+}
+
+/** Sends the tokens of one completion as server-sent events. */
+private class CompletionStream(private val entry: EntryContext, private val work: CompletionWork) {
+    private val writer: HttpResponseWriter = HttpResponse.streaming()
+    private val latency = LatencyRecorder(entry, work)
+
+    /** Whether the response has begun. */
+    var isOpen: Boolean = false
+        private set
+
+    /** Sends one token, after the headers when it is the first one, and returns the response. */
+    fun token(text: String): HttpResponse {
+        latency.token()
+        if (!isOpen) open()
+        send(completionChunk(work.id, work.model.value, text))
+        return writer
+    }
+
+    /** Ends the response as whole. */
+    fun complete() {
+        send(completionChunk(work.id, work.model.value, text = "", finishReason = FINISH_LENGTH))
+        send(END_OF_STREAM)
+        writer.write(HttpHeaders.of(OUTCOME_HEADER, RequestOutcome.Answered.code))
+        writer.close()
+    }
+
+    /** Ends the response without the end marker and tells why. */
+    fun fail(refusal: Refusal) {
+        send(refusal.toJson())
+        writer.write(HttpHeaders.of(OUTCOME_HEADER, refusal.outcome, REASON_HEADER, refusal.reason.code))
+        writer.close()
+    }
+
+    private fun open() {
+        isOpen = true
+        writer.write(
+            ResponseHeaders.builder(HttpStatus.OK)
+                .contentType(MediaType.EVENT_STREAM)
+                .add(REQUEST_ID_HEADER, work.id.value)
+                .build(),
+        )
+    }
+
+    private fun send(data: String) {
+        writer.write(HttpData.ofUtf8(serverSentEvent(data)))
+    }
+}
+
+/** Records the latencies that the caller sees. */
+private class LatencyRecorder(private val entry: EntryContext, private val work: CompletionWork) {
+    private var previous: Timestamp? = null
+
+    fun token() {
+        val now = entry.clock.now()
+        val last = previous
+        previous = now
+        if (last == null) {
+            entry.counters.firstToken(work.caller.priority, now - work.receivedAt)
+        } else {
+            entry.counters.betweenTokens(work.caller.priority, now - last)
+        }
+    }
+}
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionRun.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionRun.kt
@@ -22,6 +22,8 @@
 import org.arbutusnotch.core.routing.ResumeReason
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.daemon.backend.BackendError
+import org.arbutusnotch.daemon.telemetry.QuarantineEvent
+import org.arbutusnotch.daemon.telemetry.RetryReason
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -163,7 +165,7 @@
         )
         return when (val decision = entry.loop.run { RetryDecision.of(attempt, retryBudget, now) }) {
             is RetryDecision.Retry -> {
-                entry.counters.retry(reason)
+                entry.counters.retried(reason)
                 null
             }
 
@@ -178,7 +180,7 @@
         val crashed = probe.fold(success = { false }, failure = { it is BackendError.NotConnected })
         if (!crashed) return
         entry.loop.run { quarantine.report(work.digest, failed.server, entry.clock.now()) }
-        entry.counters.crashReported()
+        entry.counters.quarantine(QuarantineEvent.CRASH_RECORDED)
     }
 
     private fun placementRequest(firstTokenDeadline: Timestamp) = CompletionRequest(
@@ -215,9 +217,9 @@
         fun mayHaveRun(error: BackendError): Boolean = error.mayHaveBeenReceived && error !is BackendError.RefusedFull
 
         fun retryReason(failed: Leg.Failed): RetryReason = when (failed.resume) {
-            ResumeReason.NO_TOKEN -> RetryReason.NO_TOKEN
-            ResumeReason.SLOW_SERVER -> RetryReason.SLOW_SERVER
-            null -> failed.error?.let(::retryReasonOf) ?: RetryReason.BROKEN_STREAM
+            ResumeReason.NO_TOKEN -> RetryReason.TRANSFER_STALLED
+            ResumeReason.SLOW_SERVER -> RetryReason.STREAM_MIGRATED
+            null -> failed.error?.let(::retryReasonOf) ?: RetryReason.STREAM_BROKEN
         }
     }
 }
@@ -225,11 +227,11 @@
 /** Names the reason for which work is repeated after [error]. */
 internal fun retryReasonOf(error: BackendError): RetryReason = when (error) {
     is BackendError.NotConnected -> RetryReason.NOT_CONNECTED
-    is BackendError.RefusedFull -> RetryReason.REFUSED_FULL
+    is BackendError.RefusedFull -> RetryReason.SERVER_FULL
     is BackendError.HandleGone -> RetryReason.HANDLE_GONE
-    is BackendError.FencingRefused -> RetryReason.FAILED_STATUS
-    is BackendError.FailedStatus -> RetryReason.FAILED_STATUS
-    is BackendError.BrokenAfterWrite -> RetryReason.BROKEN_STREAM
-    is BackendError.TimedOut -> RetryReason.TIMED_OUT
-    is BackendError.Malformed -> RetryReason.MALFORMED
+    is BackendError.FencingRefused -> RetryReason.SERVER_FAILED
+    is BackendError.FailedStatus -> RetryReason.SERVER_FAILED
+    is BackendError.BrokenAfterWrite -> RetryReason.STREAM_BROKEN
+    is BackendError.TimedOut -> RetryReason.TRANSFER_STALLED
+    is BackendError.Malformed -> RetryReason.SERVER_FAILED
 }
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/DecodeLeg.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/DecodeLeg.kt
@@ -21,6 +21,7 @@
 import org.arbutusnotch.daemon.backend.BackendError
 import org.arbutusnotch.daemon.backend.DecodeEvent
 import org.arbutusnotch.daemon.backend.DecodeRequest
+import org.arbutusnotch.daemon.telemetry.TokenDrop
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -124,11 +125,11 @@
 
     private suspend fun takeToken(token: DecodeEvent.Token, running: RunningAttempt): DecodeOutcome? {
         if (token.attempt != reserved.attempt) {
-            entry.counters.droppedToken(DropReason.OTHER_ATTEMPT)
+            entry.counters.dropped(TokenDrop.OTHER_ATTEMPT)
             return null
         }
         if (token.index < delivered.count) {
-            entry.counters.droppedToken(DropReason.ALREADY_DELIVERED)
+            entry.counters.dropped(TokenDrop.OUT_OF_ORDER)
             return null
         }
         if (token.index > delivered.count) {
@@ -156,7 +157,7 @@
 
     private fun takeEnd(end: DecodeEvent.End): DecodeOutcome? = when {
         end.attempt != reserved.attempt -> {
-            entry.counters.droppedToken(DropReason.OTHER_ATTEMPT)
+            entry.counters.dropped(TokenDrop.OTHER_ATTEMPT)
             null
         }
 
@@ -206,9 +207,3 @@
         const val EVENT_BUFFER = 64
     }
 }
-
-/** Names why an output token of an engine is not delivered. */
-internal enum class DropReason(val code: String) {
-    OTHER_ATTEMPT("other_attempt"),
-    ALREADY_DELIVERED("already_delivered"),
-}
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryContext.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryContext.kt
@@ -51,17 +51,3 @@
         val CANCEL_TIMEOUT: Duration = 2.seconds
     }
 }
-
-/** Names why work is sent to a backend server once more. */
-internal enum class RetryReason(val code: String) {
-    NOT_CONNECTED("not_connected"),
-    REFUSED_FULL("refused_full"),
-    HANDLE_GONE("handle_gone"),
-    BROKEN_STREAM("broken_stream"),
-    FAILED_STATUS("failed_status"),
-    TIMED_OUT("timed_out"),
-    MALFORMED("malformed"),
-    NO_TOKEN("no_token"),
-    SLOW_SERVER("slow_server"),
-    LATE_PREFILL("late_prefill"),
-}
--- /dev/null
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PlainCallRun.kt
@@ -0,0 +1,281 @@
+/*
+ * Runs one call of a plain service. A non-idempotent operation runs only with an execution permit of its token's issuer.
+ */
+package org.arbutusnotch.daemon.entry
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import org.arbutusnotch.core.configuration.CallerIdentity
+import org.arbutusnotch.core.configuration.OperationDefinition
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.ContentDigest
+import org.arbutusnotch.core.id.RequestId
+import org.arbutusnotch.core.message.PermitRequest
+import org.arbutusnotch.core.message.PermitResult
+import org.arbutusnotch.core.message.RecordedAnswer
+import org.arbutusnotch.core.message.ReservationKind
+import org.arbutusnotch.core.message.TokenKey
+import org.arbutusnotch.core.outcome.RefusalReason
+import org.arbutusnotch.core.outcome.RequestOutcome
+import org.arbutusnotch.core.permit.PermitDecision
+import org.arbutusnotch.core.permit.PermitObservation
+import org.arbutusnotch.core.permit.permitOutcome
+import org.arbutusnotch.core.permit.refusalBeforeWrite
+import org.arbutusnotch.core.retry.FailedAttempt
+import org.arbutusnotch.core.retry.RetryDecision
+import org.arbutusnotch.core.routing.ServiceCandidate
+import org.arbutusnotch.core.routing.ServicePlacement
+import org.arbutusnotch.core.routing.ServiceRequest
+import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.core.token.IdempotencyToken
+import org.arbutusnotch.daemon.backend.BackendError
+import org.arbutusnotch.daemon.backend.ServiceCall
+import org.arbutusnotch.daemon.control.TICK_GAP_LIMIT
+import org.arbutusnotch.daemon.telemetry.PermitEvent
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Describes a call.
+ *
+ * @property token the idempotency token as the caller sent it
+ * @property digest digest of path and body, by which a reused token is recognized
+ * @property deadline time at which the answer is of no more use
+ */
+internal class PlainCallWork(
+    val id: RequestId,
+    val caller: CallerIdentity,
+    val service: String,
+    val operation: OperationDefinition,
+    val body: ByteArray,
+    val contentType: String?,
+    val token: String?,
+    val digest: ContentDigest,
+    val deadline: Timestamp,
+)
+
+/** Describes how a call ended. */
+internal sealed class PlainCallOutcome {
+    data class Answered(val answer: RecordedAnswer) : PlainCallOutcome()
+
+    data class Refused(val outcome: RequestOutcome) : PlainCallOutcome()
+}
+
+/** Runs [work]. */
+internal class PlainCallRun(private val entry: EntryContext, private val work: PlainCallWork) {
+    private val tried = LinkedHashSet<BackendServerId>()
+
+    /** Runs the call to its end and returns its outcome. */
+    suspend fun run(): PlainCallOutcome {
+        entry.loop.run { retryBudget.recordFirstAttempt(entry.clock.now()) }
+        return if (work.operation.idempotent) runIdempotent() else runWithPermit()
+    }
+
+    private suspend fun runIdempotent(): PlainCallOutcome = when (val end = execute(mayWrite = { null })) {
+        is Execution.Answered -> PlainCallOutcome.Answered(end.answer)
+        is Execution.NotRun -> PlainCallOutcome.Refused(RequestOutcome.NotRun(end.reason, end.retryAt))
+        is Execution.Unknown -> PlainCallOutcome.Refused(RequestOutcome.Unknown(end.reason, end.retryAt))
+    }
+
+    private suspend fun runWithPermit(): PlainCallOutcome {
+        val text = work.token ?: return decided(permitOutcome(PermitObservation.TokenMissing, entry.clock.now()))
+        val token = IdempotencyToken.parse(text).get()
+            ?: return decided(permitOutcome(PermitObservation.TokenMalformed))
+        val request = PermitRequest(
+            key = TokenKey(work.caller.client, work.caller.workspace, text),
+            requestDigest = work.digest,
+            holder = entry.self,
+            attempt = entry.loop.run { nextAttempt() },
+            permitDeadline = work.deadline,
+        )
+        val decision = entry.permits.acquire(token, request, work.deadline)
+        return if (decision is PermitDecision.Run) runPermitted(token, request, decision) else decided(decision)
+    }
+
+    private suspend fun runPermitted(
+        token: IdempotencyToken,
+        request: PermitRequest,
+        permit: PermitDecision.Run,
+    ): PlainCallOutcome {
+        entry.counters.permit(PermitEvent.GRANTED)
+        val end = execute { refusalNow(permit.deadline) }
+        val (result, observation) = when (end) {
+            is Execution.Answered ->
+                PermitResult.Answered(end.answer) to PermitObservation.AnswerArrived(end.answer)
+
+            is Execution.NotRun -> PermitResult.HandedBack to PermitObservation.PermitReturned(end.reason)
+
+            is Execution.Unknown -> PermitResult.Unknown to PermitObservation.WriteBegan(end.reason)
+        }
+        entry.permits.close(token, request, permit.permit, result)
+        return decided(permitOutcome(observation, end.retryAt))
+    }
+
+    private suspend fun refusalNow(deadline: Timestamp): RefusalReason? = entry.loop.run {
+        refusalBeforeWrite(entry.clock.now(), deadline, lastTick, TICK_GAP_LIMIT)
+    }
+
+    private fun decided(decision: PermitDecision): PlainCallOutcome = when (decision) {
+        is PermitDecision.SendAnswer -> PlainCallOutcome.Answered(decision.answer)
+
+        is PermitDecision.Refuse -> PlainCallOutcome.Refused(decision.outcome)
+
+        is PermitDecision.Run, is PermitDecision.AwaitRunning ->
+            error("permit decision $decision does not end a request")
+    }
+
+    /** Sends the call until it is answered, cannot be repeated, or [mayWrite] returns a reason not to write. */
+    private suspend fun execute(mayWrite: suspend () -> RefusalReason?): Execution {
+        var started = false
+        while (true) {
+            val placement = place()
+            if (placement is ServicePlacement.Refused) return ended(started, placement.reason, placement.retryAt)
+            val reserved = reserve((placement as ServicePlacement.Placed).candidates)
+            if (reserved is Reserved.Refused) return ended(started, RefusalReason.CAPACITY, reserved.retryAt)
+            val accepted = reserved as Reserved.Accepted
+            val refusal = mayWrite()
+            if (refusal != null) {
+                entry.reservations.release(accepted.candidate.server, accepted.resource.attempt, accepted.outcome)
+                return ended(started, refusal, entry.clock.now() + RETRY_DELAY)
+            }
+            val sent = send(accepted)
+            if (sent is Sent.Answer) return Execution.Answered(sent.answer)
+            val error = (sent as Sent.Failed).error
+            if (mayHaveRun(error)) started = true
+            afterFailure(accepted.candidate.server, error, started)?.let { return it }
+        }
+    }
+
+    private suspend fun place(): ServicePlacement = entry.loop.run {
+        val request = ServiceRequest(
+            service = work.service,
+            operation = work.operation.name,
+            priority = work.caller.priority,
+            startDeadline = work.deadline,
+            excludedServers = tried.toSet(),
+        )
+        router.placeService(request, entry.clock.now())
+    }
+
+    private suspend fun reserve(candidates: List<ServiceCandidate>): Reserved {
+        var retryAt: Timestamp? = null
+        candidates.take(CANDIDATES_ASKED).forEach { candidate ->
+            val resource = ResourceRequest(
+                server = candidate.server,
+                kind = ReservationKind.SERVICE,
+                attempt = entry.loop.run { nextAttempt() },
+                priority = work.caller.priority,
+                work = 1,
+                startDeadline = work.deadline - candidate.predictedCall,
+            )
+            when (val outcome = entry.reservations.reserve(resource)) {
+                is ReservationOutcome.Refused -> retryAt = listOfNotNull(retryAt, outcome.retryAt).min()
+                else -> return Reserved.Accepted(candidate, resource, outcome)
+            }
+        }
+        return Reserved.Refused(retryAt ?: (entry.clock.now() + RETRY_DELAY))
+    }
+
+    private suspend fun send(accepted: Reserved.Accepted): Sent {
+        val server = accepted.candidate.server
+        val startedAt = entry.clock.now()
+        val running = entry.reporter.start(
+            RunningAttempt(
+                server = server,
+                attempt = accepted.resource.attempt,
+                kind = ReservationKind.SERVICE,
+                priority = work.caller.priority,
+                work = 1,
+                expectedSince = startedAt,
+            ),
+        )
+        try {
+            val call = ServiceCall(
+                operation = work.operation.name,
+                attempt = accepted.resource.attempt,
+                body = work.body,
+                deadline = work.deadline,
+                idempotencyKey = work.token.takeUnless { work.operation.idempotent },
+                contentType = work.contentType,
+            )
+            return entry.services.call(server, call).fold(
+                success = { answer ->
+                    val now = entry.clock.now()
+                    running.add(1, now - startedAt, now)
+                    entry.loop.run {
+                        servers.recordSuccess(server)
+                        servers.observeCall(server, now - startedAt, now)
+                    }
+                    Sent.Answer(RecordedAnswer(answer.status, answer.contentType ?: DEFAULT_CONTENT_TYPE, answer.body))
+                },
+                failure = { Sent.Failed(it) },
+            )
+        } finally {
+            entry.reporter.stop(running)
+            entry.reservations.release(running, accepted.outcome)
+        }
+    }
+
+    /** Returns null when the call is sent again, otherwise how it ends. */
+    private suspend fun afterFailure(server: BackendServerId, error: BackendError, started: Boolean): Execution? {
+        val now = entry.clock.now()
+        tried += server
+        if (error is BackendError.NotConnected || error is BackendError.BrokenAfterWrite) {
+            entry.loop.run { servers.recordFailure(server, now) }
+        }
+        val attempt = FailedAttempt(
+            idempotent = work.operation.idempotent,
+            mayHaveStarted = started,
+            triedServers = tried,
+            deadline = work.deadline,
+            expectedTime = Duration.ZERO,
+        )
+        return when (val decision = entry.loop.run { RetryDecision.of(attempt, retryBudget, now) }) {
+            is RetryDecision.Retry -> {
+                entry.counters.retried(retryReasonOf(error))
+                null
+            }
+
+            is RetryDecision.Stop -> ended(started, decision.reason, now + RETRY_DELAY)
+        }
+    }
+
+    private fun mayHaveRun(error: BackendError): Boolean =
+        error.mayHaveBeenReceived && error !is BackendError.RefusedFull
+
+    private fun ended(started: Boolean, reason: RefusalReason, retryAt: Timestamp): Execution =
+        if (started) Execution.Unknown(reason, retryAt) else Execution.NotRun(reason, retryAt)
+
+    private sealed class Execution {
+        abstract val retryAt: Timestamp?
+
+        data class Answered(val answer: RecordedAnswer) : Execution() {
+            override val retryAt: Timestamp? = null
+        }
+
+        data class NotRun(val reason: RefusalReason, override val retryAt: Timestamp) : Execution()
+
+        data class Unknown(val reason: RefusalReason, override val retryAt: Timestamp) : Execution()
+    }
+
+    private sealed class Reserved {
+        data class Accepted(
+            val candidate: ServiceCandidate,
+            val resource: ResourceRequest,
+            val outcome: ReservationOutcome,
+        ) : Reserved()
+
+        data class Refused(val retryAt: Timestamp) : Reserved()
+    }
+
+    private sealed class Sent {
+        data class Answer(val answer: RecordedAnswer) : Sent()
+
+        data class Failed(val error: BackendError) : Sent()
+    }
+
+    private companion object {
+        val RETRY_DELAY: Duration = 500.milliseconds
+        const val DEFAULT_CONTENT_TYPE = "application/octet-stream"
+    }
+}
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PrefillRace.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PrefillRace.kt
@@ -19,6 +19,7 @@
 import org.arbutusnotch.daemon.backend.BackendError
 import org.arbutusnotch.daemon.backend.PrefillRequest
 import org.arbutusnotch.daemon.backend.PrefillResult
+import org.arbutusnotch.daemon.telemetry.RetryReason
 import kotlin.time.Duration
 
 /** Describes the result of a prefill and the server that holds it for [attempt]. */
@@ -53,7 +54,7 @@
         val early = if (secondAt == null || others.isEmpty()) primary.await() else awaitUntil(primary, secondAt)
         if (early != null) return@coroutineScope early
         val second = reserveSecond(others) ?: return@coroutineScope primary.await()
-        entry.counters.retry(RetryReason.LATE_PREFILL)
+        entry.counters.retried(RetryReason.PREFILL_LATE)
         val secondary = async { execute(second) }
         firstSuccess(primary, secondary)
     }
--- a/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/DaemonSettings.kt
+++ b/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/DaemonSettings.kt
@@ -47,6 +47,7 @@
  * @property permitRecords idempotency tokens that the instance records as issuer at a time
  * @property answerBytes largest answer that the instance records as issuer for one idempotency token
  * @property workerThreads threads that handle connections
+ * @property tokenLifetime time until the expiry of the issuer prefixes that the instance returns to callers
  * @property drainTimeout longest time that a drain takes before it interrupts what still runs
  */
 public data class LimitSettings(
@@ -58,6 +59,7 @@
     public val answerBytes: Int = 8_192,
     public val workerThreads: Int = 2,
     public val drainTimeout: Duration = 120.seconds,
+    public val tokenLifetime: Duration = 60.seconds,
 )
 
 /** Holds how the instance selects backend servers. */
--- a/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/DaemonSettingsReader.kt
+++ b/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/DaemonSettingsReader.kt
@@ -104,6 +104,11 @@
             DaemonRanges.DRAIN_SECONDS,
             defaults.drainTimeout.inWholeSeconds.toInt(),
         ).seconds,
+        tokenLifetime = limit(
+            "token_seconds",
+            DaemonRanges.TOKEN_SECONDS,
+            defaults.tokenLifetime.inWholeSeconds.toInt(),
+        ).seconds,
     )
     rejectOtherKeys()
     return limits
--- a/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/SettingsRanges.kt
+++ b/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/SettingsRanges.kt
@@ -16,6 +16,7 @@
     val ANSWER_BYTES: IntRange = 0..1_048_576
     val WORKER_THREADS: IntRange = 1..64
     val DRAIN_SECONDS: IntRange = 1..3_600
+    val TOKEN_SECONDS: IntRange = 1..600
 }
 
 internal object DeploymentRanges {
