--- a/arbutusnotch-peer/src/main/kotlin/org/arbutusnotch/peer/PeerTraffic.kt
+++ b/arbutusnotch-peer/src/main/kotlin/org/arbutusnotch/peer/PeerTraffic.kt
@@ -31,6 +31,9 @@
         .map { (type, counts) -> counts.toTraffic(type) }
         .sortedBy { it.type }
 
+    /** Returns the traffic of the message type with the serial name [type]; null when none was seen. */
+    public fun of(type: String): MessageTraffic? = counts[type]?.toTraffic(type)
+
     internal fun received(message: PeerMessage?, bytes: Int) {
         val count = countsOf(message)
         count.messagesIn.increment()
