--- a/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/DaemonSettingsReader.kt
+++ b/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/DaemonSettingsReader.kt
@@ -70,6 +70,8 @@
     val failureDomain = text("failure_domain", TextForm.NAME)
     val incarnation = if (has("incarnation")) long("incarnation", DaemonRanges.INCARNATION) else null
     rejectOtherKeys()
+    val addresses = listOf("entry_address" to entry, "peer_address" to peer, "operator_address" to operator)
+    requireDifferent(addresses)
     return InstanceSettings(
         entryAddress = entry ?: return null,
         peerAddress = InstanceAddress(peer ?: return null),
@@ -79,6 +81,14 @@
     )
 }
 
+/** Reports each address that an earlier key has, because two listeners cannot share one. */
+private fun TomlTableReader.requireDifferent(addresses: List<Pair<String, String?>>) {
+    addresses.forEachIndexed { index, (key, address) ->
+        val earlier = addresses.take(index).firstOrNull { (_, other) -> address != null && other == address }
+        if (earlier != null) mismatch(key, "the address of ${earlier.first}", "an address of its own")
+    }
+}
+
 private fun TomlTableReader.platformSettings(): PlatformSettings? {
     val address = text("address", TextForm.ADDRESS)
     rejectOtherKeys()
