--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/ControlEventLog.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/ControlEventLog.kt
@@ -25,17 +25,22 @@
 
 private fun logMembership(log: EventLog, event: MembershipEvent) = when (event) {
     is MembershipEvent.BecameReachable -> log.info("peer_reachable") { field("instance", event.instance) }
+
     is MembershipEvent.BecameUnreachable -> log.warn("peer_unreachable") { field("instance", event.instance) }
+
     is MembershipEvent.Replaced -> log.info("peer_replaced") {
         field("previous", event.previous)
         field("current", event.current)
     }
 
+    is MembershipEvent.Removed -> log.info("peer_removed") { field("instance", event.instance) }
+
     is MembershipEvent.OwnAddressTaken -> log.error("own_address_taken") { field("current", event.current) }
 }
 
 private fun logRevision(log: EventLog, event: RevisionEvent) = when (event) {
     is RevisionEvent.BecameActive -> log.info("revision_active") { field("revision", event.content.mark.revision) }
+
     is RevisionEvent.Rejected -> log.warn("revision_invalid") {
         field("digest", event.digest)
         field("errors", event.fault.messages.size)
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
@@ -1,5 +1,5 @@
 /*
- * One instance: it starts the control loop, the peer transport, the HTTP interfaces and the periodic work, and ends them.
+ * One instance: it starts and ends the control loop, the peer transport, the HTTP interfaces and the periodic work.
  */
 package org.arbutusnotch.daemon
 
@@ -140,7 +140,11 @@
             )
             true
         }
-        if (began) log.info("drain_started") { field("hard_deadline_seconds", settings.limits.drainTimeout.inWholeSeconds) }
+        if (began) {
+            log.info("drain_started") {
+                field("hard_deadline_seconds", settings.limits.drainTimeout.inWholeSeconds)
+            }
+        }
     }
 
     /** Ends a graceful shutdown at once. */
@@ -190,7 +194,7 @@
         periodically(GOSSIP_INTERVAL) { send(gossip.nextRound()) }
         periodically(REPORT_INTERVAL) { reporter.report() }
         periodically(SUPERVISION_INTERVAL) { supervisor.round() }
-        val platform = PlatformClient(clientFactory, settings.platform.address)
+        val platform = PlatformClient(settings.platform.address, clientFactory, clock = clock::now)
         scope.launch { platform.watchConfiguration().collect { take(it) } }
         scope.launch { platform.watchInstances().collect { take(it) } }
     }
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/DaemonOperatorView.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/DaemonOperatorView.kt
@@ -118,7 +118,13 @@
     ): Result<ExplainReply, RefusalReason> {
         val operation = checkNotNull(directory).operation(query.service, query.operation)
             ?: return Err(RefusalReason.UNKNOWN_ROUTE)
-        val request = ServiceRequest(query.service, query.operation, priority = 0, startDeadline = now + operation.timeout)
+        val request = ServiceRequest(
+            query.service,
+            query.operation,
+            priority = 0,
+            startDeadline =
+            now + operation.timeout,
+        )
         return Ok(reply(router.explain(request, now), promptTokens = 0))
     }
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/backend/BackendSupervisor.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/backend/BackendSupervisor.kt
@@ -1,12 +1,12 @@
 /*
- * The regular work of a slot owner at its backend servers: it reads their load, releases what nobody waits for any more,
- * and tells engines which models to load. Entries read the cache events of prefill servers.
+ * The regular work of a slot owner at its backend servers: it reads their load, releases what nobody waits for any
+ * more, and tells engines which models to load. Entries read the cache events of prefill servers.
  */
 package org.arbutusnotch.daemon.backend
 
 import com.github.michaelbull.result.get
-import com.github.michaelbull.result.onFailure
-import com.github.michaelbull.result.onSuccess
+import com.github.michaelbull.result.onErr
+import com.github.michaelbull.result.onOk
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import org.arbutusnotch.core.configuration.CallerDirectory
@@ -17,8 +17,6 @@
 import org.arbutusnotch.core.id.RevisionNumber
 import org.arbutusnotch.core.membership.SlotOwnership
 import org.arbutusnotch.core.reservation.LoadReport
-import org.arbutusnotch.core.routing.CacheEvent as CachedPrefixEvent
-import org.arbutusnotch.core.routing.CacheEventKind as CachedPrefixEventKind
 import org.arbutusnotch.core.routing.RoutingPolicy
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.daemon.control.Clock
@@ -31,6 +29,8 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import org.arbutusnotch.core.routing.CacheEvent as CachedPrefixEvent
+import org.arbutusnotch.core.routing.CacheEventKind as CachedPrefixEventKind
 
 /** Time between two rounds of a [BackendSupervisor]. */
 internal val SUPERVISION_INTERVAL: Duration = 1.seconds
@@ -91,7 +91,7 @@
             PoolKind.DECODE -> superviseEngine(server)
 
             PoolKind.SERVICE -> if (server.readsLoad) {
-                services.load(server.address, deadline()).onSuccess { load ->
+                services.load(server.address, deadline()).onOk { load ->
                     applyLoad(server, LoadReport(load.asOf, load.active, load.waiting, load.capacity))
                 }
             }
@@ -100,7 +100,7 @@
 
     private suspend fun superviseEngine(server: SupervisedServer) {
         if (server.readsLoad) {
-            engine.load(server.address, deadline()).onSuccess { load -> applyLoad(server, load.toReport()) }
+            engine.load(server.address, deadline()).onOk { load -> applyLoad(server, load.toReport()) }
         }
         if (server.owned) sweepHeld(server)
         if (server.ordersAllowed) order(server)
@@ -118,7 +118,7 @@
         val requests = engine.held(server.address, deadline()).get() ?: return
         val cancelled = loop.run { held.toCancel(requests, instances, clock.now()) }
         cancelled.forEach { (request, reason) ->
-            engine.cancel(server.address, request.attempt, deadline()).onSuccess {
+            engine.cancel(server.address, request.attempt, deadline()).onOk {
                 counters.heldCancelled(reason)
                 log.info("held_request_cancelled") {
                     field("server", server.address)
@@ -140,8 +140,8 @@
         if (ordered[server.address] == server.revision) return
         server.models.forEach { model ->
             engine.order(server.address, EngineOrder.LoadModel(model), server.revision, deadline())
-                .onSuccess { ordered[server.address] = server.revision }
-                .onFailure { failure ->
+                .onOk { ordered[server.address] = server.revision }
+                .onErr { failure ->
                     if (failure is BackendError.FencingRefused) {
                         log.warn("order_refused") {
                             field("server", server.address)
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/ControlLoop.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/ControlLoop.kt
@@ -12,10 +12,8 @@
  *
  * @param onBrokenInvariant called with the failure of a block; the process must not go on with tables in doubt
  */
-internal class ControlLoop(
-    private val state: ControlState,
-    private val onBrokenInvariant: (Throwable) -> Unit,
-) : AutoCloseable {
+internal class ControlLoop(private val state: ControlState, private val onBrokenInvariant: (Throwable) -> Unit) :
+    AutoCloseable {
     private val executor = Executors.newSingleThreadExecutor { task ->
         Thread(task, "control").apply { isDaemon = true }
     }
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/ControlState.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/ControlState.kt
@@ -3,6 +3,7 @@
  */
 package org.arbutusnotch.daemon.control
 
+import com.github.michaelbull.result.mapError
 import org.arbutusnotch.core.configuration.CallerDirectory
 import org.arbutusnotch.core.configuration.ConfigurationFault
 import org.arbutusnotch.core.configuration.RevisionTable
@@ -28,17 +29,12 @@
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.settings.DaemonSettings
 import org.arbutusnotch.settings.DeploymentConfigurationReader
-import com.github.michaelbull.result.mapError
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Holds the tables of the instance that [settings] describe. */
-internal class ControlState(
-    val settings: DaemonSettings,
-    startedAt: Timestamp,
-    val random: Random,
-) {
+internal class ControlState(val settings: DaemonSettings, startedAt: Timestamp, val random: Random) {
     val self: InstanceId = InstanceId(
         address = settings.instance.peerAddress,
         incarnation = settings.instance.incarnation ?: Incarnation(startedAt.epochMillis),
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/TickSystems.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/TickSystems.kt
@@ -36,7 +36,7 @@
         detectGap(now, events)
         state.permits.tick(now)
         state.quarantine.tick(now)
-        events += state.instances.tick(now).map(ControlEvent::Membership)
+        events += state.instances.tick(now).flatMap { apply(it, now) }
         events += state.revisions.tick(now, state.reachablePeers()).flatMap { apply(it, now) }
         updateOwnership(now, events)
         compareServers(now, events)
@@ -80,6 +80,8 @@
             is MembershipEvent.Replaced ->
                 events += state.reservations.removeTerminated(event.previous, now).map(ControlEvent::Reservation)
 
+            is MembershipEvent.Removed -> state.revisions.forget(event.instance.address)
+
             is MembershipEvent.BecameReachable,
             is MembershipEvent.BecameUnreachable,
             is MembershipEvent.OwnAddressTaken,
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionEndpoint.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionEndpoint.kt
@@ -42,18 +42,28 @@
         val body = try {
             entryJson.decodeFromString(CompletionBody.serializer(), admitted.request.contentUtf8())
         } catch (failure: SerializationException) {
-            throw refused(RefusalReason.MALFORMED_REQUEST, "the body is not a completion: ${failure.message}")
-        }
-        if (body.prompt.isEmpty()) throw refused(RefusalReason.MALFORMED_REQUEST, "prompt is empty")
-        if (body.maxTokens !in OUTPUT_TOKENS) {
-            throw refused(RefusalReason.MALFORMED_REQUEST, "max_tokens is ${body.maxTokens}; allowed: $OUTPUT_TOKENS")
+            val message = "the body is not a completion: ${failure.message}"
+            throw RefusedException(RequestOutcome.NotRun(RefusalReason.MALFORMED_REQUEST), message, failure)
         }
+        checkBody(body)?.let { throw it }
+        return body
+    }
+
+    private fun checkBody(body: CompletionBody): RefusedException? {
         val tokens = PromptDigests.tokens(body.prompt)
-        if (tokens > limits.promptTokens) {
-            val message = "the prompt has $tokens tokens; allowed: ${limits.promptTokens}"
-            throw refused(RefusalReason.REQUEST_TOO_LARGE, message)
+        return when {
+            body.prompt.isEmpty() -> refused(RefusalReason.MALFORMED_REQUEST, "prompt is empty")
+
+            body.maxTokens !in OUTPUT_TOKENS ->
+                refused(RefusalReason.MALFORMED_REQUEST, "max_tokens is ${body.maxTokens}; allowed: $OUTPUT_TOKENS")
+
+            tokens > limits.promptTokens -> refused(
+                RefusalReason.REQUEST_TOO_LARGE,
+                "the prompt has $tokens tokens; allowed: ${limits.promptTokens}",
+            )
+
+            else -> null
         }
-        return body
     }
 
     private fun work(admitted: AdmittedRequest, body: CompletionBody): CompletionWork {
@@ -74,7 +84,8 @@
             targets = targets,
             receivedAt = admitted.receivedAt,
             firstTokenDeadline = firstTokenDeadline,
-            deadline = firstTokenDeadline + targets.betweenTokens * (body.maxTokens * DEADLINE_FACTOR) + DEADLINE_ALLOWANCE,
+            deadline =
+            firstTokenDeadline + targets.betweenTokens * (body.maxTokens * DEADLINE_FACTOR) + DEADLINE_ALLOWANCE,
         )
     }
 
@@ -96,7 +107,7 @@
         return HttpResponse.of(headers, HttpData.ofUtf8(json))
     }
 
-    /** Starts the run and returns once the first token or the refusal is known, so that a refusal has its own status. */
+    /** Returns once the first token or the refusal is known, so that a refusal has its own status. */
     private suspend fun streamed(work: CompletionWork): HttpResponse {
         val stream = CompletionStream(entry, work)
         val started = CompletableDeferred<HttpResponse>()
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionRun.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionRun.kt
@@ -28,11 +28,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Runs [work] and delivers its tokens to [sink]. */
-internal class CompletionRun(
-    private val entry: EntryContext,
-    private val work: CompletionWork,
-    sink: TokenSink,
-) {
+internal class CompletionRun(private val entry: EntryContext, private val work: CompletionWork, sink: TokenSink) {
     private val delivered = DeliveredTokens(sink)
     private val tried = LinkedHashSet<BackendServerId>()
     private var engineReached = false
@@ -198,7 +194,8 @@
 
         data class Refused(val reason: RefusalReason, val retryAt: Timestamp?) : Leg()
 
-        data class Failed(val server: BackendServerId, val error: BackendError?, val resume: ResumeReason? = null) : Leg() {
+        data class Failed(val server: BackendServerId, val error: BackendError?, val resume: ResumeReason? = null) :
+            Leg() {
             val isConnectionFailure: Boolean
                 get() = error is BackendError.NotConnected || error is BackendError.BrokenAfterWrite
         }
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/DecodeLeg.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/DecodeLeg.kt
@@ -1,8 +1,11 @@
 /*
  * One decode stream of a completion, from its reservation to its end, failure or move to another server.
  */
+@file:OptIn(ExperimentalCoroutinesApi::class)
+
 package org.arbutusnotch.daemon.entry
 
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.channels.getOrElse
 import kotlinx.coroutines.coroutineScope
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryPoints.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryPointsReply.kt
@@ -7,9 +7,9 @@
 import kotlinx.serialization.Serializable
 import org.arbutusnotch.core.membership.EntryPointList
 import org.arbutusnotch.core.membership.IssuerSelection
+import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.core.token.IssuerPrefix
 import org.arbutusnotch.daemon.control.ControlState
-import org.arbutusnotch.core.time.Timestamp
 
 /** Holds the reply to `GET /v1/entry-points`. */
 @Serializable
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryServer.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryServer.kt
@@ -5,13 +5,13 @@
 
 import com.linecorp.armeria.common.AggregatedHttpRequest
 import com.linecorp.armeria.common.ContentTooLargeException
+import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.ResponseHeaders
-import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServerBuilder
 import com.linecorp.armeria.server.ServiceRequestContext
@@ -47,7 +47,8 @@
 }
 
 /** Ends a request before it runs; [refusal] is what the caller is told. */
-internal class RefusedException(val refusal: RequestOutcome.NotRun, message: String) : Exception(message)
+internal class RefusedException(val refusal: RequestOutcome.NotRun, message: String, cause: Throwable? = null) :
+    Exception(message, cause)
 
 /** Serves callers over [entry] within [limits]. */
 internal class EntryServer(
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PlainCallEndpoint.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PlainCallEndpoint.kt
@@ -69,6 +69,7 @@
         is RequestOutcome.NotRun -> when (outcome.reason) {
             RefusalReason.TOKEN_MISSING ->
                 "the operation is not idempotent: send idempotency-key: <issuer prefix>.<key of your own>"
+
             else -> "the call was not run: ${outcome.reason.code}"
         }
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PlainCallRun.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PlainCallRun.kt
@@ -1,5 +1,5 @@
 /*
- * Runs one call of a plain service. A non-idempotent operation runs only with an execution permit of its token's issuer.
+ * Runs one call of a plain service. A non-idempotent operation runs only with a permit of its token's issuer.
  */
 package org.arbutusnotch.daemon.entry
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PrefillRace.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PrefillRace.kt
@@ -1,12 +1,15 @@
 /*
  * The prefill of a completion. A late prefill is started once more on another server; the slower one is cancelled.
  */
+@file:OptIn(ExperimentalCoroutinesApi::class)
+
 package org.arbutusnotch.daemon.entry
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.selects.onTimeout
@@ -188,11 +191,8 @@
     private fun remaining(deadline: Timestamp): Duration = maxOf(deadline - entry.clock.now(), Duration.ZERO)
 
     private sealed class Reserved {
-        data class Accepted(
-            val candidate: PrefillCandidate,
-            val attempt: AttemptId,
-            val outcome: ReservationOutcome,
-        ) : Reserved()
+        data class Accepted(val candidate: PrefillCandidate, val attempt: AttemptId, val outcome: ReservationOutcome) :
+            Reserved()
 
         data class Refused(val retryAt: Timestamp) : Reserved()
     }
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/ReservationGateway.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/ReservationGateway.kt
@@ -93,7 +93,13 @@
         background.launch {
             val self = loop.run { self }
             val report = StreamReport(finished.server, self, listOf(finished.take().copy(finished = true)))
-            if (outcome.owner == self) local.report(report) else transport.request(outcome.owner.address, report, RELEASE_TIMEOUT)
+            if (outcome.owner ==
+                self
+            ) {
+                local.report(report)
+            } else {
+                transport.request(outcome.owner.address, report, RELEASE_TIMEOUT)
+            }
         }
     }
 
@@ -105,7 +111,13 @@
     }
 
     private suspend fun releaseAt(owner: InstanceId, message: ReleaseRequest) {
-        if (owner == loop.run { self }) local.release(message) else transport.request(owner.address, message, RELEASE_TIMEOUT)
+        if (owner ==
+            loop.run { self }
+        ) {
+            local.release(message)
+        } else {
+            transport.request(owner.address, message, RELEASE_TIMEOUT)
+        }
     }
 
     private suspend fun outcome(owner: InstanceId, reply: ReserveReply?): ReservationOutcome = when (reply) {
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/StreamReporter.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/StreamReporter.kt
@@ -1,6 +1,6 @@
 /*
- * The progress reports of this entry to slot owners. They renew the reservations of running attempts and tell owners the
- * observed speed; one message per server carries all attempts there.
+ * The progress reports of this entry to slot owners. They renew the reservations of running attempts and tell owners
+ * the observed speed; one message per server carries all attempts there.
  */
 package org.arbutusnotch.daemon.entry
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/GossipExchange.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/GossipExchange.kt
@@ -37,7 +37,7 @@
         instances.beat()
         val message = Gossip(
             sender = self,
-            rows = instances.rowsToSend(now),
+            rows = instances.rowsToSend(),
             summaries = nextSummaries(),
             quarantined = quarantine.entriesToGossip(now),
         )
