Keep slow streams that cannot move and refuse requests late in a drain

Cause: a stream that was closed in order to move ended its request when the retry budget was spent, although the slow server still delivered; a draining instance accepted requests from callers that kept its address too long, so a drain could last until its hard deadline.

Ruled out: moving outside the budget, which would let a slow pool multiply the load.

Change: a stream moves only while the retry rules allow another attempt; after the entry point lists have expired a draining instance answers draining.

Conclusion: a move can no longer turn a slow answer into a failed one.

--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionRun.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionRun.kt
@@ -110,7 +110,7 @@
 
     private suspend fun runDecode(decode: ReservedDecode, prefill: HeldPrefill): Leg {
         try {
-            return when (val outcome = DecodeLeg(entry, work, decode, delivered).run(prefill)) {
+            return when (val outcome = DecodeLeg(entry, work, decode, delivered, ::mayMove).run(prefill)) {
                 is DecodeOutcome.Complete -> {
                     entry.loop.run { servers.recordSuccess(decode.candidate.server) }
                     Leg.Complete
@@ -125,6 +125,9 @@
         }
     }
 
+    private suspend fun mayMove(): Boolean =
+        tried.size < MOST_MOVES && entry.loop.run { retryBudget.available(entry.clock.now()) > 0 }
+
     private suspend fun reserveDecode(candidates: List<DecodeCandidate>, startDeadline: Timestamp): DecodeReservation {
         var retryAt: Timestamp? = null
         candidates.take(CANDIDATES_ASKED).forEach { candidate ->
@@ -209,6 +212,9 @@
 
     private companion object {
         val RETRY_DELAY: Duration = 500.milliseconds
+
+        /** Servers that a request may leave; a third attempt is the last one that the retry rules allow. */
+        const val MOST_MOVES = 2
         val PROBE_TIMEOUT: Duration = 300.milliseconds
 
         fun mayHaveRun(error: BackendError): Boolean = error.mayHaveBeenReceived && error !is BackendError.RefusedFull
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/DecodeLeg.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/DecodeLeg.kt
@@ -59,12 +59,13 @@
     }
 }
 
-/** Runs one decode stream of [work]. */
+/** Runs one decode stream of [work]; [mayMove] tells whether the request may be resumed on another server. */
 internal class DecodeLeg(
     private val entry: EntryContext,
     private val work: CompletionWork,
     private val reserved: ReservedDecode,
     private val delivered: DeliveredTokens,
+    private val mayMove: suspend () -> Boolean,
 ) {
     private val server = reserved.candidate.server
     private var lastToken = entry.clock.now()
@@ -182,7 +183,9 @@
         )
         return when (action) {
             is StreamAction.Continue -> null
-            is StreamAction.Resume -> DecodeOutcome.Moved(server, action.reason)
+
+            // A stream that cannot be resumed elsewhere goes on, because closing it would end the request.
+            is StreamAction.Resume -> if (mayMove()) DecodeOutcome.Moved(server, action.reason) else null
         }
     }
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryServer.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryServer.kt
@@ -23,6 +23,7 @@
 import org.arbutusnotch.core.configuration.CallerDirectory
 import org.arbutusnotch.core.configuration.CallerIdentity
 import org.arbutusnotch.core.id.RequestId
+import org.arbutusnotch.core.membership.DrainState
 import org.arbutusnotch.core.message.InstanceState
 import org.arbutusnotch.core.outcome.RefusalReason
 import org.arbutusnotch.core.outcome.RequestOutcome
@@ -122,7 +123,10 @@
     }
 
     private suspend fun servingDirectory(): CallerDirectory {
-        val (state, directory) = entry.loop.run { instances.ownRow.state to directory }
+        val (state, directory, drain) = entry.loop.run { Triple(instances.ownRow.state, directory, drain) }
+        if (drain.leaving && drain !is DrainState.LeavingLists) {
+            throw refused(RefusalReason.DRAINING, "the instance is shutting down; ask for a new list of entry points")
+        }
         if (directory == null || state == InstanceState.STARTING) {
             val message = "the instance has no active configuration yet"
             throw refused(RefusalReason.NO_CONFIGURATION, message, entry.clock.now() + RETRY_DELAY)
