--- a/arbutusnotch-peer/src/main/kotlin/org/arbutusnotch/peer/PeerLink.kt
+++ b/arbutusnotch-peer/src/main/kotlin/org/arbutusnotch/peer/PeerLink.kt
@@ -72,7 +72,7 @@
     private suspend fun connection(): Result<OutboundConnection, PeerError> {
         val opening = synchronized(lock) {
             lastUse = TimeSource.Monotonic.markNow()
-            current?.takeIf { it.isOpen }?.let { return Ok(it) }
+            current?.let { if (it.isOpen) return Ok(it) else recordEnd(it) }
             attempt ?: startAttempt() ?: return Err(PeerError.Unreachable(address, "waiting to connect again"))
         }
         return opening.await()
@@ -100,10 +100,14 @@
     }
 
     private fun onClosed(connection: OutboundConnection) {
-        synchronized(lock) {
-            if (current === connection) current = null
-            if (connection.answered) failures = 0 else recordFailure()
-        }
+        synchronized(lock) { recordEnd(connection) }
+    }
+
+    /** Takes the backoff into account once, by whoever first notices the end of [connection]. */
+    private fun recordEnd(connection: OutboundConnection) {
+        if (current !== connection) return
+        current = null
+        if (connection.answered) failures = 0 else recordFailure()
     }
 
     private fun recordFailure() {
