Add emulators of the platform, the engine and the plain service

Cause: the daemon and the failure tests need the outside systems as separate processes that can lag, refuse, stall and crash on command.

Ruled out: sleeping per decode step, because delays of the timer add up; steps, prefills and transfers are computed from deadlines on the monotonic clock. Completing Armeria's stop future on a timeout, because that future cannot be completed from outside and each stop waited 4 s for the event loops.

Change: PlatformEmulator, EngineEmulator and ServiceEmulator with management calls under /emulator/, and ExpectedOutput, from which a load generator computes the same answers.

--- /dev/null
+++ b/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/service/ExecutionLog.kt
@@ -0,0 +1,41 @@
+/*
+ * The record of executions. With a file it survives a crash of the process, as the effect of a booking does.
+ */
+package org.arbutusnotch.testing.service
+
+import org.arbutusnotch.testing.http.wireJson
+import java.nio.file.Path
+import java.nio.file.StandardOpenOption
+import kotlin.io.path.bufferedWriter
+import kotlin.io.path.exists
+import kotlin.io.path.readLines
+
+/** Records executions; every method may be called from any thread. */
+internal class ExecutionLog(file: Path?) {
+    private val executions = mutableListOf<Execution>()
+
+    init {
+        if (file != null && file.exists()) {
+            executions += file.readLines().filter { it.endsWith("}") }.map { wireJson.decodeFromString<Execution>(it) }
+        }
+    }
+
+    private val writer = file?.bufferedWriter(
+        options = arrayOf(StandardOpenOption.CREATE, StandardOpenOption.APPEND),
+    )
+
+    fun add(execution: Execution): Unit = synchronized(this) {
+        executions += execution
+        writer?.run {
+            appendLine(wireJson.encodeToString(execution))
+            flush()
+        }
+    }
+
+    fun report(server: String): ExecutionReport = synchronized(this) {
+        val counts = executions.groupBy { it.operation to it.idempotencyKey }.map { (key, runs) ->
+            ExecutionCount(key.first, key.second, runs.size, runs.map { it.epochMillis })
+        }
+        ExecutionReport(server, counts)
+    }
+}
--- /dev/null
+++ b/arbutusnotch-testing/src/test/kotlin/org/arbutusnotch/testing/engine/EngineEmulatorTest.kt
@@ -0,0 +1,267 @@
+/*
+ * The engine emulator is the oracle of the failure tests, so its own faults would hide those of the router.
+ */
+package org.arbutusnotch.testing.engine
+
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpStatus
+import org.arbutusnotch.testing.DecodedStream
+import org.arbutusnotch.testing.MODEL
+import org.arbutusnotch.testing.RunningServer
+import org.arbutusnotch.testing.await
+import org.arbutusnotch.testing.decode
+import org.arbutusnotch.testing.decodeCall
+import org.arbutusnotch.testing.expected.ExpectedOutput
+import org.arbutusnotch.testing.fault
+import org.arbutusnotch.testing.held
+import org.arbutusnotch.testing.http.wireJson
+import org.arbutusnotch.testing.prefill
+import org.arbutusnotch.testing.startEngine
+import org.arbutusnotch.testing.statistics
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.contains
+import strikt.assertions.filter
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+import strikt.assertions.map
+import kotlin.system.measureTimeMillis
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
+
+class EngineEmulatorTest {
+    private val engines = mutableListOf<RunningServer>()
+    private val prompt = "tower log ".repeat(1_000)
+
+    private fun engine(settings: (String) -> EngineSettings = ::EngineSettings): RunningServer =
+        startEngine(settings).also { engines += it }
+
+    @AfterEach
+    fun stop() = engines.forEach { it.close() }
+
+    private fun prefillCall(attempt: String, text: String = prompt) = PrefillCall(attempt, model = MODEL, prompt = text)
+
+    /** Guards against oracle errors: the load generator compares with these exact bytes. */
+    @Test
+    fun `decode on another engine yields the tokens of the prompt`() {
+        val prefill = engine { EngineSettings(it, EngineRole.PREFILL) }
+        val decode = engine { EngineSettings(it, EngineRole.DECODE) }
+        val handle = prefill.prefill(prefillCall("a/1/1")).handle
+
+        val stream = DecodedStream(decode.decode(decodeCall(prefill, handle, "a/1/1", 8)).join().contentUtf8())
+
+        expectThat(stream.text).isEqualTo(ExpectedOutput.text(MODEL, prompt, 8))
+        expectThat(stream.end?.tokens).isEqualTo(8)
+        expectThat(prefill.held().held).isEmpty()
+        expectThat(decode.held().held).isEmpty()
+        expectThat(prefill.statistics().prefillResultsUsed).isEqualTo(1)
+    }
+
+    /** Guards against a resume that repeats or skips tokens. */
+    @Test
+    fun `resume starts at the given token`() {
+        val engine = engine()
+        val handle = engine.prefill(prefillCall("a/1/1")).handle
+
+        val call = decodeCall(engine, handle, "a/1/2", 8).copy(firstTokenIndex = 5)
+        val stream = DecodedStream(engine.decode(call).join().contentUtf8())
+
+        expectThat(stream.tokens).map { it.index }.isEqualTo(listOf(5, 6, 7))
+        expectThat(stream.tokens.first().token)
+            .isEqualTo(ExpectedOutput.token(MODEL, ExpectedOutput.promptDigest(prompt), 5))
+    }
+
+    /** Guards against a prefill result that is kept for ever and hides wasted prefill. */
+    @Test
+    fun `unused prefill result expires and counts as wasted`() {
+        val engine = engine { EngineSettings(it, retention = 100.milliseconds) }
+        val handle = engine.prefill(prefillCall("a/1/1")).handle
+        await("expiry") { engine.held().held.isEmpty() }
+
+        expectThat(engine.statistics().prefillTokensWasted).isEqualTo(2_500)
+        expectThat(engine.decode(decodeCall(engine, handle, "a/1/1", 4)).join().status()).isEqualTo(HttpStatus.GONE)
+    }
+
+    /** Guards against a prefix cache that never hits, which would make cache-aware placement look useless. */
+    @Test
+    fun `second prefill of a prompt finds its whole blocks in the cache`() {
+        val engine = engine { EngineSettings(it, eventLag = 0.milliseconds, lostEventShare = 0.0) }
+        engine.prefill(prefillCall("a/1/1"))
+
+        expectThat(engine.prefill(prefillCall("a/1/2")).cachedTokens).isEqualTo(2_048)
+        expectThat(engine.read<CacheEvents>("/engine/cache-events?after=0").events).map { it.prefixDigest }
+            .isEqualTo(ExpectedOutput.prefixDigests(prompt))
+    }
+
+    /** Guards against cancel that leaves memory behind. */
+    @Test
+    fun `cancel releases a running decode`() {
+        val engine = engine()
+        val handle = engine.prefill(prefillCall("a/1/1")).handle
+        val stream = engine.decode(decodeCall(engine, handle, "a/1/1", 10_000))
+        await("start") { engine.statistics().tokensGenerated > 0 }
+        expectThat(engine.held().held.single().pieces).isGreaterThan(2)
+
+        val reply = engine.post("/engine/cancel", CancelCall("a/1/1")).join()
+
+        expectThat(wireJson.decodeFromString<CancelReply>(reply.contentUtf8()).released).isTrue()
+        expectThat(engine.held().held).isEmpty()
+        expectThat(runCatching { stream.join() }.isSuccess).isFalse()
+    }
+
+    /** Guards against an engine that keeps work past its deadline. */
+    @Test
+    fun `deadline ends a running decode`() {
+        val engine = engine()
+        val handle = engine.prefill(prefillCall("a/1/1")).handle
+        val call = decodeCall(engine, handle, "a/1/1", 10_000)
+            .copy(deadlineEpochMillis = System.currentTimeMillis() + 200)
+
+        expectThat(runCatching { engine.decode(call).join() }.isSuccess).isFalse()
+        expectThat(engine.held().held).isEmpty()
+    }
+
+    /** Guards against an engine without limits, which would make admission control look useless. */
+    @Test
+    fun `full slots refuse with 429`() {
+        val engine = engine { EngineSettings(it, slots = 1, waitingLimit = 0) }
+        val first = engine.prefill(prefillCall("a/1/1")).handle
+        engine.decode(decodeCall(engine, first, "a/1/1", 10_000))
+        await("start") { engine.statistics().tokensGenerated > 0 }
+        val second = engine.prefill(prefillCall("a/1/2")).handle
+
+        expectThat(engine.decode(decodeCall(engine, second, "a/1/2", 4)).join().status())
+            .isEqualTo(HttpStatus.TOO_MANY_REQUESTS)
+    }
+
+    /** Guards against priorities that the emulator ignores. */
+    @Test
+    fun `waiting prefill with higher priority runs first`() {
+        val engine = engine { EngineSettings(it, prefillParallel = 1, prefillPerToken = 100.microseconds) }
+        val low = (1..3).map { number ->
+            engine.post("/engine/prefill", prefillCall("a/1/$number", "log $number ".repeat(400)))
+        }
+        await("queue") { engine.held().held.size == 3 }
+        val high = engine.post("/engine/prefill", prefillCall("a/1/9", "urgent ".repeat(400)).copy(priority = 9))
+        high.join()
+
+        expectThat(low.count { it.isDone }).isLessThan(3)
+    }
+
+    /** Guards against a slow fault that does not slow the steps. */
+    @Test
+    fun `slow fault stretches the time between tokens`() {
+        val engine = engine()
+        val usual = measureTimeMillis { decodeOnce(engine, "a/1/1") }
+        engine.fault(EngineFault.Slow(5.0, 10_000))
+        val slowed = measureTimeMillis { decodeOnce(engine, "a/1/2") }
+
+        expectThat(slowed).isGreaterThan(usual * 2)
+    }
+
+    /** Guards against a stalled transfer that holds its slot after the decode is cancelled. */
+    @Test
+    fun `stalled transfer is released by cancel`() {
+        val engine = engine()
+        engine.fault(EngineFault.StallTransfer(durationMillis = 60_000))
+        val handle = engine.prefill(prefillCall("a/1/1")).handle
+        val stream = engine.decode(decodeCall(engine, handle, "a/1/1", 4))
+        await("import") { engine.held().held.any { it.kind == "decode" } }
+        engine.post("/engine/cancel", CancelCall("a/1/1")).join()
+
+        expectThat(stream.join().status()).isNotEqualTo(HttpStatus.OK)
+        await("release") { engine.held().held.isEmpty() }
+    }
+
+    /** Guards against a foreign token fault that the router could not recognise. */
+    @Test
+    fun `foreign token carries another attempt`() {
+        val engine = engine()
+        engine.fault(EngineFault.ForeignToken(1))
+        val handle = engine.prefill(prefillCall("a/1/1")).handle
+        val stream = DecodedStream(engine.decode(decodeCall(engine, handle, "a/1/1", 4)).join().contentUtf8())
+
+        expectThat(stream.tokens).filter { it.attempt != "a/1/1" }.hasSize(1)
+        expectThat(stream.tokens).filter { it.attempt == "a/1/1" }.hasSize(4)
+    }
+
+    /** Guards against a dropped stream that looks complete. */
+    @Test
+    fun `dropped stream has no end line`() {
+        val engine = engine()
+        engine.fault(EngineFault.DropStreams(afterTokens = 2))
+        val handle = engine.prefill(prefillCall("a/1/1")).handle
+        val lines = StringBuilder()
+        val response = engine.start(
+            HttpMethod.POST,
+            "/engine/decode",
+            wireJson.encodeToString(decodeCall(engine, handle, "a/1/1", 4)),
+        ).mapData { data -> data.also { lines.append(it.toStringUtf8()) } }
+
+        expectThat(runCatching { response.aggregate().join() }.isSuccess).isFalse()
+        expectThat(DecodedStream(lines.toString()).end).isNull()
+    }
+
+    /** Guards against fencing numbers that a fencing engine ignores, and that another engine checks. */
+    @Test
+    fun `only a fencing engine refuses an old order`() {
+        val order = OrderCall("load_model", model = "m", fencing = 7)
+        listOf(true to HttpStatus.CONFLICT, false to HttpStatus.OK).forEach { (fencing, expected) ->
+            val engine = engine { EngineSettings(it, fencing = fencing) }
+            engine.post("/engine/orders", order).join()
+            val reply = engine.post("/engine/orders", order.copy(fencing = 6)).join()
+            expectThat(reply.status()).isEqualTo(expected)
+            expectThat(reply.contentUtf8()).contains("\"fencing\":7")
+        }
+    }
+
+    /** Guards against a load report without lag, which real engines do not give. */
+    @Test
+    fun `load report shows the load late`() {
+        val engine = engine { EngineSettings(it, loadLag = 300.milliseconds) }
+        val handle = engine.prefill(prefillCall("a/1/1")).handle
+        engine.decode(decodeCall(engine, handle, "a/1/1", 10_000))
+        await("start") { engine.statistics().tokensGenerated > 0 }
+
+        expectThat(engine.read<LoadReport>("/engine/load").active).isEqualTo(0)
+        await("report") { engine.read<LoadReport>("/engine/load").active == 1 }
+    }
+
+    /** Guards against two prefills that run as fast together as one alone. */
+    @Test
+    fun `parallel prefills slow each other`() {
+        val engine = engine { EngineSettings(it, prefillPerToken = 100.microseconds) }
+        val alone = measureTimeMillis { engine.prefill(prefillCall("a/1/1", "a".repeat(8_000))) }
+        val together = measureTimeMillis {
+            listOf("b", "c").mapIndexed { index, text ->
+                engine.post("/engine/prefill", prefillCall("b/1/$index", text.repeat(8_000)))
+            }.forEach { it.join() }
+        }
+
+        expectThat(alone).isGreaterThan(190)
+        expectThat(together).isGreaterThan(390)
+    }
+
+    /** Guards against wrong answers that depend on which engine or which time produced them. */
+    @Test
+    fun `tokens differ between prompts`() {
+        val tokens = (0 until 100).map { ExpectedOutput.token(MODEL, ExpectedOutput.promptDigest("a"), it) }
+        expectThat(tokens.toSet()).hasSize(100)
+        expectThat(ExpectedOutput.text(MODEL, "b", 100)).isNotEqualTo(tokens.joinToString(""))
+        expectThat(tokens).all { get { startsWith(" ") }.isTrue() }
+    }
+
+    private fun decodeOnce(engine: RunningServer, attempt: String) {
+        val handle = engine.prefill(prefillCall(attempt)).handle
+        engine.decode(decodeCall(engine, handle, attempt, 20)).join()
+    }
+}
