Tick slower while an instance is idle

Cause: an idle instance spent 0.7% of a core on 50 ticks a second (14 of 140 clock ticks in 20 s on the control thread, next to 64 of JIT compilation). Ruled out: a slower tick for all, because queued reservations are refused by it. Change: 100 ms between ticks when nothing ran for 3 s; shorter field names for instance ids in gossip. Conclusion: deadlines of an idle instance are far longer than its tick.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/id/Identifiers.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/id/Identifiers.kt
@@ -5,6 +5,7 @@
  */
 package org.arbutusnotch.core.id
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** Identifies an instance by its peer address, in the form `ip:port`. */
@@ -25,7 +26,10 @@
 
 /** Identifies one process: an [InstanceAddress] and its [Incarnation]. */
 @Serializable
-public data class InstanceId(public val address: InstanceAddress, public val incarnation: Incarnation) {
+public data class InstanceId(
+    @SerialName("a") public val address: InstanceAddress,
+    @SerialName("n") public val incarnation: Incarnation,
+) {
     override fun toString(): String = "$address/$incarnation"
 }
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
@@ -38,7 +38,6 @@
 import org.arbutusnotch.daemon.control.MonotonicClock
 import org.arbutusnotch.daemon.control.PendingReservations
 import org.arbutusnotch.daemon.control.SlotOwnerService
-import org.arbutusnotch.daemon.control.TICK_INTERVAL
 import org.arbutusnotch.daemon.control.TickSystems
 import org.arbutusnotch.daemon.entry.EntryContext
 import org.arbutusnotch.daemon.entry.EntryServer
@@ -183,14 +182,7 @@
         .gracefulShutdownTimeoutMillis(0, 0)
 
     private fun startPeriodicWork() {
-        periodically(TICK_INTERVAL) {
-            val events = loop.run {
-                val now = clock.now()
-                reporter.observeSilence(servers, now)
-                systems.tick(now)
-            }
-            events.forEach { handle(it) }
-        }
+        scope.launch { tickForever() }
         periodically(GOSSIP_INTERVAL) { send(gossip.nextRound()) }
         periodically(REPORT_INTERVAL) { reporter.report() }
         periodically(SUPERVISION_INTERVAL) { supervisor.round() }
@@ -199,6 +191,19 @@
         scope.launch { platform.watchInstances().collect { take(it) } }
     }
 
+    private suspend fun tickForever() {
+        while (true) {
+            val (events, interval) = loop.run {
+                val now = clock.now()
+                if (reporter.isActive) lastWork = now
+                reporter.observeSilence(servers, now)
+                systems.tick(now) to systems.interval(now)
+            }
+            events.forEach { handle(it) }
+            delay(interval)
+        }
+    }
+
     private fun periodically(interval: Duration, action: suspend () -> Unit) {
         scope.launch {
             while (isActive) {
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/ControlState.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/ControlState.kt
@@ -70,6 +70,9 @@
     /** Time of the latest tick; a large gap means that the process was paused. */
     var lastTick: Timestamp = startedAt
 
+    /** Time at which this instance last worked on a request or a reservation. */
+    var lastWork: Timestamp = startedAt
+
     private var attempts = 0L
     private var requests = 0L
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/SlotOwnerService.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/SlotOwnerService.kt
@@ -22,7 +22,11 @@
 ) {
     /** Decides about [request]; a queued one is answered when it is decided, at its start deadline at the latest. */
     suspend fun reserve(request: ReserveRequest): ReserveReply {
-        val decision = loop.run { reservations.reserve(request, clock.now()) }
+        val decision = loop.run {
+            val now = clock.now()
+            lastWork = now
+            reservations.reserve(request, now)
+        }
         if (decision !is ReservationDecision.Queued) return checkNotNull(decision.toReply())
         return awaitDecision(decision, request)
     }
@@ -47,7 +51,11 @@
 
     /** Takes the progress of attempts and returns what is known of their server. */
     suspend fun report(report: StreamReport): StreamReportReply {
-        val result = loop.run { reservations.report(report, clock.now()) }
+        val result = loop.run {
+            val now = clock.now()
+            lastWork = now
+            reservations.report(report, now)
+        }
         result.decisions.forEach(pending::complete)
         return StreamReportReply(result.summary)
     }
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/TickSystems.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/TickSystems.kt
@@ -16,9 +16,15 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Time between two ticks. */
+/** Time between two ticks while requests run or reservations are asked for. */
 internal val TICK_INTERVAL: Duration = 20.milliseconds
 
+/** Time between two ticks of an idle instance, whose deadlines are all longer. */
+internal val IDLE_TICK_INTERVAL: Duration = 100.milliseconds
+
+/** Time without work after which an instance is idle; longer than the lifetime of a reservation. */
+private val IDLE_AFTER: Duration = 3_000.milliseconds
+
 /** Gap between two ticks above which the process counts as paused. */
 internal val TICK_GAP_LIMIT: Duration = 500.milliseconds
 
@@ -90,6 +96,15 @@
         return events
     }
 
+    /** Returns the time until the next tick. */
+    fun interval(now: Timestamp): Duration = if (now - state.lastWork >
+        IDLE_AFTER
+    ) {
+        IDLE_TICK_INTERVAL
+    } else {
+        TICK_INTERVAL
+    }
+
     private fun detectGap(now: Timestamp, events: MutableList<ControlEvent>) {
         val gap = now - state.lastTick
         if (gap > TICK_GAP_LIMIT) events += ControlEvent.TickGap(gap)
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryServer.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryServer.kt
@@ -80,7 +80,10 @@
     private fun respond(handle: suspend (RequestId, Timestamp) -> HttpResponse): HttpResponse {
         val receivedAt = entry.clock.now()
         val running = scope.future {
-            val id = entry.loop.run { nextRequest() }
+            val id = entry.loop.run {
+                lastWork = receivedAt
+                nextRequest()
+            }
             try {
                 handle(id, receivedAt)
             } catch (refused: RefusedException) {
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/StreamReporter.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/StreamReporter.kt
@@ -74,6 +74,10 @@
 ) {
     private val running = ConcurrentHashMap<AttemptId, RunningAttempt>()
 
+    /** Whether any attempt is running. */
+    val isActive: Boolean
+        get() = running.isNotEmpty()
+
     /** Starts to report [attempt]. */
     fun start(attempt: RunningAttempt): RunningAttempt {
         running[attempt.attempt] = attempt
