Test the permit, revision, quarantine and membership tables

Cause: the tables decide whether a booking runs twice and whether a configuration is reverted, and no test drove them through failures.

Ruled out: a cluster simulator; each property test drives only the tables that it checks, with a network that loses, repeats, delays and reorders messages. Returning every permit that arrives after the end of an attempt, because a repeated reply may name the permit that the attempt has used.

Before, the module had no test.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/permit/PermitDecision.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/permit/PermitDecision.kt
@@ -74,9 +74,10 @@
 
 /**
  * Returns the message that returns a permit which arrived after the entry gave up on [request], or null when [reply]
- * grants none. Without it the token would stay unusable until the permit's deadline and be `unknown` from then on.
+ * grants none. Without it the token would stay unusable until the permit's deadline and be `unknown` from then on. It
+ * must not be used for an attempt that has written: the reply may be a repetition of the permit that was used.
  */
-public fun returnOfLatePermit(request: PermitRequest, reply: PermitReply): PermitClose? =
+internal fun returnOfLatePermit(request: PermitRequest, reply: PermitReply): PermitClose? =
     (reply as? PermitReply.Granted)?.let {
         PermitClose(request.key, request.attempt, it.permit, PermitResult.HandedBack)
     }
--- /dev/null
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/InstanceTableTest.kt
@@ -0,0 +1,159 @@
+/*
+ * Guards against dead instances that count as live, live ones that count as dead, and rows that are never sent.
+ */
+package org.arbutusnotch.core.membership
+
+import org.arbutusnotch.core.id.FailureDomainId
+import org.arbutusnotch.core.id.Incarnation
+import org.arbutusnotch.core.id.InstanceId
+import org.arbutusnotch.core.message.InstanceState
+import org.arbutusnotch.core.message.PublishedInstance
+import org.arbutusnotch.core.time.Timestamp
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.first
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+
+internal class InstanceTableTest {
+    private val start = Timestamp(1_000_000)
+    private val table = InstanceTable(rowOf(1), seeds = listOf(addressOf(1), addressOf(9)))
+
+    @Test
+    fun `a higher heartbeat renews an instance and a repeated one does not`() {
+        table.merge(listOf(rowOf(2, heartbeat = 5)), start)
+        tickUntil(1_400)
+        table.merge(listOf(rowOf(2, heartbeat = 5)), start + 1_400.milliseconds)
+        expectThat(tickUntil(1_500)).containsExactly(MembershipEvent.BecameUnreachable(rowOf(2).instance))
+        val events = table.merge(listOf(rowOf(2, heartbeat = 6)), start + 1_500.milliseconds)
+        expectThat(events).containsExactly(MembershipEvent.BecameReachable(rowOf(2).instance))
+    }
+
+    @Test
+    fun `a later incarnation replaces an earlier one whatever its heartbeat`() {
+        table.merge(listOf(rowOf(2, incarnation = 1, heartbeat = 900)), start)
+        val events = table.merge(listOf(rowOf(2, incarnation = 2, heartbeat = 1)), start)
+        val replaced = MembershipEvent.Replaced(idOf(2, 1), idOf(2, 2))
+        expectThat(events).containsExactly(replaced, MembershipEvent.BecameReachable(idOf(2, 2)))
+        expectThat(table.isReplaced(idOf(2, 1))).isTrue()
+        expectThat(table.isReplaced(idOf(2, 2))).isFalse()
+        expectThat(table.merge(listOf(rowOf(2, incarnation = 1, heartbeat = 901)), start)).isEmpty()
+    }
+
+    @Test
+    fun `a later incarnation at the own address is reported once`() {
+        val row = rowOf(1, incarnation = 2)
+        expectThat(table.merge(listOf(row), start)).containsExactly(MembershipEvent.OwnAddressTaken(row.instance))
+        expectThat(table.merge(listOf(row), start)).isEmpty()
+        expectThat(table.successor).isEqualTo(row.instance)
+        expectThat(table.ownRow.instance).isEqualTo(idOf(1, 1))
+    }
+
+    @Test
+    fun `a row of the own earlier incarnation changes nothing`() {
+        expectThat(table.merge(listOf(rowOf(1, incarnation = 0, heartbeat = 99)), start)).isEmpty()
+        expectThat(table.successor).isNull()
+    }
+
+    @Test
+    fun `a failed connection makes an instance unreachable until its heartbeat rises`() {
+        table.merge(listOf(rowOf(2, heartbeat = 1)), start)
+        table.markUnreachable(addressOf(2))
+        expectThat(table.reachablePeers()).isEmpty()
+        table.merge(listOf(rowOf(2, heartbeat = 2)), start)
+        expectThat(table.reachablePeers()).hasSize(1)
+    }
+
+    @Test
+    fun `a pause of the own process does not make its peers unreachable at once`() {
+        table.merge(listOf(rowOf(2)), start)
+        table.tick(start)
+        table.tick(start + 5_000.milliseconds)
+        expectThat(table.reachablePeers()).hasSize(1)
+    }
+
+    @Test
+    fun `an instance that is long gone is removed`() {
+        table.merge(listOf(rowOf(2)), start)
+        val events = table.tick(start + 10.minutes)
+        expectThat(events).containsExactly(MembershipEvent.Removed(idOf(2, 1)))
+        expectThat(table.find(addressOf(2))).isNull()
+    }
+
+    @Test
+    fun `every row of a large fleet is sent before one is sent again, also when rows are renewed`() {
+        val peers = (2..100)
+        val sent = (1L..4L).flatMap { round ->
+            table.merge(peers.map { rowOf(it, heartbeat = round) }, start)
+            val rows = table.rowsToSend()
+            expectThat(rows).hasSize(InstanceTable.ROW_LIMIT).first().isEqualTo(table.ownRow)
+            rows.drop(1).map { it.instance.address }
+        }
+        expectThat(sent.take(99)).containsExactlyInAnyOrder(peers.map { addressOf(it) })
+    }
+
+    @Test
+    fun `rows of unreachable instances are not sent`() {
+        table.merge(listOf(rowOf(2), rowOf(3)), start)
+        table.markUnreachable(addressOf(2))
+        expectThat(table.rowsToSend().map { it.instance.address }).containsExactly(addressOf(1), addressOf(3))
+    }
+
+    @Test
+    fun `gossip goes to reachable peers and to one address that is silent`() {
+        table.merge(listOf(rowOf(2), rowOf(3), rowOf(4)), start)
+        table.mergePublished(listOf(published(1), published(2), published(8)))
+        val targets = List(50) { table.gossipTargets(Random(it)) }
+        expectThat(targets.flatten().toSet()).containsExactlyInAnyOrder(listOf(2, 3, 4, 8, 9).map { addressOf(it) })
+        expectThat(targets.map { it.size }.toSet()).containsExactly(3)
+    }
+
+    @Test
+    fun `a silent instance is still contacted so that a healed partition closes`() {
+        val alone = InstanceTable(rowOf(1))
+        alone.merge(listOf(rowOf(2)), start)
+        alone.markUnreachable(addressOf(2))
+        expectThat(alone.gossipTargets(Random(1))).containsExactly(addressOf(2))
+    }
+
+    @Test
+    fun `a published instance without gossip is listed and is not reachable`() {
+        table.mergePublished(listOf(published(1), published(2), published(3, leaving = true)))
+        table.merge(listOf(rowOf(3)), start)
+        expectThat(table.silentPublished().map { it.address }).containsExactly(addressOf(2))
+        expectThat(table.live().map { it.address }).containsExactly(addressOf(1), addressOf(3))
+        expectThat(table.find(addressOf(3))?.acceptsNewWork).isEqualTo(false)
+    }
+
+    @Test
+    fun `an instance that gossips and is not published counts as live`() {
+        table.mergePublished(emptyList())
+        table.merge(listOf(rowOf(2)), start)
+        expectThat(table.find(addressOf(2))?.acceptsNewWork).isEqualTo(true)
+    }
+
+    @Test
+    fun `a change of the own row reaches peers that know the previous heartbeat`() {
+        val before = table.ownRow
+        table.describeOwn(state = InstanceState.DRAINING)
+        expectThat(table.ownRow.heartbeat).isEqualTo(before.heartbeat + 1)
+        expectThat(table.ownRow.state).isEqualTo(InstanceState.DRAINING)
+    }
+
+    private fun tickUntil(millis: Int): List<MembershipEvent> =
+        (0..millis step 100).flatMap { table.tick(start + it.milliseconds) }
+
+    private fun idOf(number: Int, incarnation: Long) = InstanceId(addressOf(number), Incarnation(incarnation))
+
+    private fun published(number: Int, leaving: Boolean = false) =
+        PublishedInstance(addressOf(number), "entry", "operator", FailureDomainId("a"), leaving)
+}
