Test reservations, server speeds, placement and retries

Ruled out: jqwik's own random seed, which a run cannot take from outside; the sequences come from a generator with the seed of the system property arbutusnotch.test.seed, and jqwik.tries.default sets their number. Class names that end in Properties, which surefire does not run.

Change: unit tests by feature and stateful properties against simple oracles. They found RoutingPolicy.ofCode failing with a null entry when a policy object was used before the companion; the list is now built on each call. The first implementation was corrected while the tests were written: the release rate also counts while low priorities wait for kept slots, a late prefill lengthens the predicted wait, one report has a bounded weight in a server's speed, one request is tried after a backoff, the retry budget holds for every window, and explain has no effect on later placements.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/reservation/ReservedServer.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/reservation/ReservedServer.kt
@@ -96,6 +96,7 @@
 
     fun noteShortage(now: Timestamp) {
         lastShortage = now
+        releases.full(now)
     }
 
     fun hold(reservation: Reservation, now: Timestamp) {
@@ -106,7 +107,7 @@
     /** Removes the reservation of [attempt]; returns whether there was one. */
     fun remove(attempt: AttemptId, now: Timestamp): Boolean {
         held.remove(attempt) ?: return false
-        releases.released(now, stillFull = freeSlots(now) <= 0)
+        releases.released(now, stillFull = isSaturated(now))
         lastPrefillEnd = now
         changed(now)
         return true
@@ -114,15 +115,18 @@
 
     private fun changed(now: Timestamp) {
         history.record(if (kind == ReservationKind.PREFILL) heldTokens() else held.size, now)
-        if (freeSlots(now) <= 0) releases.full(now)
+        if (isSaturated(now)) releases.full(now)
     }
 
+    /** Tells whether releases come as fast as the server can make them. */
+    private fun isSaturated(now: Timestamp): Boolean = freeSlots(now) <= 0 || queue.isNotEmpty()
+
     private fun heldTokens(): Int = held.values.sumOf { it.work }
 
     fun observe(progress: AttemptProgress, now: Timestamp) {
         if (progress.tokens <= 0 || progress.elapsedMicros <= 0) return
         val units = WorkUnits.of(kind, progress.tokens)
-        val count = if (kind == ReservationKind.DECODE) progress.tokens else 1
+        val count = if (kind == ReservationKind.DECODE) minOf(progress.tokens, LARGEST_SAMPLE) else 1
         speed.observe(units, progress.elapsedMicros.microseconds, count, now)
     }
 
@@ -158,7 +162,8 @@
         val running = held.values.firstOrNull() ?: return foreign
         val started = maxOf(running.grantedAt, lastPrefillEnd ?: running.grantedAt)
         val whole = timeOf(running.work)
-        val rest = maxOf(whole - (now - started), whole * LEAST_REMAINING_PART)
+        val elapsed = now - started
+        val rest = maxOf(whole - elapsed, whole * LEAST_REMAINING_PART, (elapsed - whole) * DELAY_PART)
         val others = held.values.drop(1).fold(Duration.ZERO) { sum, next -> sum + timeOf(next.work) }
         return foreign + rest + others
     }
@@ -214,9 +219,15 @@
 
         private const val PROBE_LIMIT = 2
 
-        /** A prefill that exceeds its prediction is assumed to have this part of its work left. */
+        /** Bounds the weight of one report, so that a paused entry does not set the speed of a server alone. */
+        private const val LARGEST_SAMPLE = 4
+
+        /** A prefill near its predicted end is assumed to have this part of its work left. */
         private const val LEAST_REMAINING_PART = 0.1
 
+        /** A prefill past its predicted end is assumed to need this part of its delay in addition. */
+        private const val DELAY_PART = 0.5
+
         /**
          * Prefill work that a server holds ahead. It covers the time in which a grant reaches the entry; more work
          * would wait in the engine, where a later request of higher priority cannot overtake it.
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/retry/RetryBudget.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/retry/RetryBudget.kt
@@ -19,7 +19,9 @@
     /** Returns the number of retries that may start at [now]. */
     public fun available(now: Timestamp): Int {
         discardOld(now)
-        val allowed = buckets.sumOf { it.firstAttempts } / FIRST_ATTEMPTS_PER_RETRY + FIXED_ALLOWANCE
+        val oldest = oldestBucket(now)
+        val firstAttempts = buckets.filter { it.number > oldest }.sumOf { it.firstAttempts }
+        val allowed = firstAttempts / FIRST_ATTEMPTS_PER_RETRY + FIXED_ALLOWANCE
         return (allowed - buckets.sumOf { it.retries }).coerceAtLeast(0)
     }
 
@@ -39,10 +41,16 @@
     }
 
     private fun discardOld(now: Timestamp) {
-        val oldest = (now - WINDOW).epochMillis.floorDiv(BUCKET.inWholeMilliseconds)
-        while (buckets.isNotEmpty() && buckets.first().number <= oldest) buckets.removeFirst()
+        val oldest = oldestBucket(now)
+        while (buckets.isNotEmpty() && buckets.first().number < oldest) buckets.removeFirst()
     }
 
+    /**
+     * Returns the bucket in which the window begins. Its retries count and its first attempts do not, so that the
+     * budget holds exactly for every window.
+     */
+    private fun oldestBucket(now: Timestamp): Long = (now - WINDOW).epochMillis.floorDiv(BUCKET.inWholeMilliseconds)
+
     private class Bucket(val number: Long) {
         var firstAttempts = 0
         var retries = 0
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/routing/CandidateOrder.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/routing/CandidateOrder.kt
@@ -11,6 +11,7 @@
 import org.arbutusnotch.core.straggler.ServerView
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Selects and orders candidates. */
 internal class CandidateOrder(private val ownDomain: FailureDomainId, private val random: Random) {
@@ -33,16 +34,25 @@
 
     /** Returns every server in turn, starting with the next one of the pool. */
     fun inTurn(views: List<ServerView>): List<ServerView> {
-        val pool = views.firstOrNull()?.definition?.pool ?: return views
-        val turn = turns.merge(pool, 1, Int::plus) ?: 1
-        val start = Math.floorMod(turn - 1, views.size)
+        val first = nextInTurn(views) ?: return views
+        turns.merge(first.definition.pool, 1, Int::plus)
+        val start = views.indexOf(first)
         return views.drop(start) + views.take(start)
     }
 
+    /** Returns the server whose turn it is, without ending its turn. */
+    fun nextInTurn(views: List<ServerView>): ServerView? {
+        val pool = views.firstOrNull()?.definition?.pool ?: return null
+        return views[Math.floorMod(turns[pool] ?: 0, views.size)]
+    }
+
     /** Orders by the load that the servers reported of themselves, in random order among equals. */
     fun byReportedLoad(views: List<ServerView>): List<ServerView> =
         views.shuffled(random).sortedBy { view -> reportedLoad(view) }
 
+    /** Returns the first server with the least reported load. */
+    fun leastReportedLoad(views: List<ServerView>): ServerView? = views.minByOrNull { reportedLoad(it) }
+
     private fun reportedLoad(view: ServerView): Double {
         val load = view.load ?: return 0.0
         if (view.kind == ReservationKind.PREFILL) return load.queuedPrefillTokens.toDouble()
@@ -64,7 +74,8 @@
         return (drawn.sortedWith(order) + others).take(CANDIDATE_LIMIT)
     }
 
-    private fun slotOrder(wait: (ServerView) -> Duration): Comparator<ServerView> = compareBy<ServerView> { wait(it) }
+    /** Orders by wait, free slots, failure domain and speed. */
+    fun slotOrder(wait: (ServerView) -> Duration): Comparator<ServerView> = compareBy<ServerView> { wait(it) }
         .thenByDescending { it.freeSlots }
         .thenBy { it.definition.failureDomain != ownDomain }
         .thenBy { it.perUnit }
@@ -76,11 +87,15 @@
         cost: (ServerView) -> Duration,
     ): List<ServerView> {
         val drawn = (preferred + views.shuffled(random).filterNot { it in preferred }.take(2))
-        val order = compareBy<ServerView> { cost(it) }.thenBy { it.definition.failureDomain != ownDomain }
-        return drawn.sortedWith(order).take(CANDIDATE_LIMIT)
+        return drawn.sortedBy { costWithDomain(it, cost) }.take(CANDIDATE_LIMIT)
     }
 
+    /** Returns the [cost] of [view] with the round trip to another failure domain. */
+    fun costWithDomain(view: ServerView, cost: (ServerView) -> Duration): Duration =
+        cost(view) + if (view.definition.failureDomain == ownDomain) Duration.ZERO else DOMAIN_ROUND_TRIP
+
     private companion object {
         const val CANDIDATE_LIMIT = 4
+        val DOMAIN_ROUND_TRIP: Duration = 3.milliseconds
     }
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/routing/Router.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/routing/Router.kt
@@ -75,18 +75,29 @@
         prefill: List<PrefillCandidate>,
         now: Timestamp,
     ): Placement {
-        val predicted = prefill.minOf { it.predictedFirstToken }
-        val unloaded = prefill.minOf { it.predictedFirstToken - it.predictedWait } - decode.first().predictedWait
-        val allowed = maxOf(request.firstTokenDeadline - now, unloaded * UNATTAINABLE_FACTOR)
-        val excess = predicted - allowed
-        if (policy == RoutingPolicy.Chosen && excess.isPositive()) return refused(RefusalReason.CAPACITY, excess, now)
+        val excess = excess(request, decode.first(), prefill, now)
+        if (excess.isPositive()) return refused(RefusalReason.CAPACITY, excess, now)
         val start = now + decode.first().predictedWait
         return Placement.Placed(decode, prefill, secondPrefillAt(prefill, start))
     }
 
+    /** Returns the time by which the predicted first token exceeds the target; only [RoutingPolicy.Chosen] refuses. */
+    private fun excess(
+        request: CompletionRequest,
+        decode: DecodeCandidate,
+        prefill: List<PrefillCandidate>,
+        now: Timestamp,
+    ): Duration {
+        if (policy != RoutingPolicy.Chosen) return Duration.ZERO
+        val predicted = prefill.minOf { it.predictedFirstToken }
+        val unloaded = prefill.minOf { it.predictedFirstToken - it.predictedWait } - decode.predictedWait
+        return predicted - maxOf(request.firstTokenDeadline - now, unloaded * UNATTAINABLE_FACTOR)
+    }
+
+    /** A probe goes to a server that is known to be slow; its time is compared with that of the next candidate. */
     private fun secondPrefillAt(prefill: List<PrefillCandidate>, start: Timestamp): Timestamp? {
-        val first = prefill.first()
         if (prefill.size < 2) return null
+        val first = prefill.firstOrNull { !it.probe } ?: prefill.first()
         return start + PrefillWatch.lateAfter(first.predictedWait + first.predictedPrefill)
     }
 
@@ -104,13 +115,16 @@
 
     private fun byPrefillCost(views: List<ServerView>, request: CompletionRequest): List<ServerView> {
         val uncached = views.associateWith { uncachedTokens(it, request) }
-        val cost = { view: ServerView -> costs.prefillWait(view) + costs.workTime(view, uncached.getValue(view)) }
+        val cost = { view: ServerView -> prefillCost(view, uncached.getValue(view)) }
         val least = uncached.values.min()
         val withPrefix = views.filter { uncached[it] == least && least < request.promptTokens }
         val preferred = listOfNotNull(withPrefix.minByOrNull(cost))
         return order.twoChoicesByCost(views, preferred, cost)
     }
 
+    private fun prefillCost(view: ServerView, uncachedTokens: Int): Duration =
+        costs.prefillWait(view) + costs.workTime(view, uncachedTokens)
+
     private fun uncachedTokens(view: ServerView, request: CompletionRequest): Int =
         costs.uncachedTokens(view, request.prefixDigests, request.promptTokens)
 
@@ -203,20 +217,21 @@
     }
 
     /** Returns the time until a backoff ends; the servers of an empty pool change only with the configuration. */
-    private fun untilUsable(views: List<ServerView>, now: Timestamp): Duration =
-        views.filterNot { it.leaving }.mapNotNull { it.failedUntil }.minOrNull()?.let { it - now }
-            ?: CONFIGURATION_INTERVAL
+    private fun untilUsable(views: List<ServerView>, now: Timestamp): Duration {
+        val live = views.filterNot { it.leaving }
+        if (live.any { it.failedUntil == null }) return OTHER_REQUEST_INTERVAL
+        return live.mapNotNull { it.failedUntil }.minOrNull()?.let { it - now } ?: CONFIGURATION_INTERVAL
+    }
 
-    /** Describes how [request] would be placed at [now], without any effect on later placements. */
+    /** Describes the best placement of [request] at [now], without the draws and without effect on later placements. */
     public fun explain(request: CompletionRequest, now: Timestamp): Explanation {
         val model = models[request.model]
             ?: return refusedExplanation(RefusalReason.NO_BACKEND_SERVER, now + CONFIGURATION_INTERVAL)
         val decodeViews = servers.servers(model.decodePool, now)
         val prefillViews = servers.servers(model.prefillPool, now)
         val explained = prefillViews.map { explained(it, request) } + decodeViews.map { explained(it, request) }
-        val decode = order.usable(decodeViews, request.excludedServers).minByOrNull { costs.slotWait(it) }
-        val prefill = order.usable(prefillViews, request.excludedServers)
-            .minByOrNull { costs.prefillWait(it) + costs.workTime(it, uncachedTokens(it, request)) }
+        val decode = firstBySlots(order.usable(decodeViews, request.excludedServers))
+        val prefill = firstPrefill(order.usable(prefillViews, request.excludedServers), request)
         if (decode == null || prefill == null) {
             val unusable = if (decode == null) decodeViews else prefillViews
             val retryAt = now + untilUsable(unusable, now)
@@ -224,25 +239,25 @@
         }
         val decodeCandidate = decodeCandidate(decode)
         val prefillCandidate = prefillCandidate(prefill, request, decodeCandidate)
-        val placement = admit(request, listOf(decodeCandidate), listOf(prefillCandidate), now)
-        val refused = placement as? Placement.Refused
+        val excess = excess(request, decodeCandidate, listOf(prefillCandidate), now)
+        val refused = excess.isPositive()
         return Explanation(
             policy = policy,
-            chosen = if (refused == null) listOf(prefill.server, decode.server) else emptyList(),
-            refusal = refused?.reason,
-            retryAt = refused?.retryAt,
+            chosen = if (refused) emptyList() else listOf(prefill.server, decode.server),
+            refusal = if (refused) RefusalReason.CAPACITY else null,
+            retryAt = if (refused) now + excess else null,
             predictedFirstToken = prefillCandidate.predictedFirstToken,
             candidates = explained,
         )
     }
 
-    /** Describes how [request] would be placed at [now], without any effect on later placements. */
+    /** Describes the best placement of [request] at [now], without the draws and without effect on later placements. */
     public fun explain(request: ServiceRequest, now: Timestamp): Explanation {
         val pool = services[request.service]?.pool
             ?: return refusedExplanation(RefusalReason.UNKNOWN_ROUTE, now + CONFIGURATION_INTERVAL)
         val views = servers.servers(pool, now)
         val explained = views.map { explainedCall(it, request) }
-        val best = order.usable(views, request.excludedServers).minByOrNull { costs.slotWait(it) }
+        val best = firstBySlots(order.usable(views, request.excludedServers))
             ?: return refusedExplanation(RefusalReason.NO_BACKEND_SERVER, now + untilUsable(views, now), explained)
         val wait = costs.slotWait(best)
         val late = policy == RoutingPolicy.Chosen && now + wait > request.startDeadline
@@ -256,6 +271,22 @@
         )
     }
 
+    private fun firstBySlots(views: List<ServerView>): ServerView? = when (policy) {
+        RoutingPolicy.Chosen -> views.minWithOrNull(order.slotOrder { costs.slotWait(it) })
+        RoutingPolicy.RoundRobin -> order.nextInTurn(views)
+        RoutingPolicy.LeastReportedLoad -> order.leastReportedLoad(views)
+    }
+
+    private fun firstPrefill(views: List<ServerView>, request: CompletionRequest): ServerView? = when (policy) {
+        RoutingPolicy.Chosen -> views.minByOrNull { view ->
+            order.costWithDomain(view) { prefillCost(it, uncachedTokens(it, request)) }
+        }
+
+        RoutingPolicy.RoundRobin -> order.nextInTurn(views)
+
+        RoutingPolicy.LeastReportedLoad -> order.leastReportedLoad(views)
+    }
+
     private fun refusedExplanation(
         reason: RefusalReason,
         retryAt: Timestamp,
@@ -301,6 +332,9 @@
         val SHORTEST_RETRY: Duration = 20.milliseconds
         val LONGEST_RETRY: Duration = 30.seconds
 
+        /** Delay of a request that failed on every usable server; it may succeed there when their load has changed. */
+        val OTHER_REQUEST_INTERVAL: Duration = 250.milliseconds
+
         /** Time within which a changed configuration is active on every instance. */
         val CONFIGURATION_INTERVAL: Duration = 9.seconds
     }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/routing/RoutingPolicy.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/routing/RoutingPolicy.kt
@@ -18,8 +18,9 @@
     public data object LeastReportedLoad : RoutingPolicy("least-reported-load")
 
     public companion object {
-        /** All policies. */
-        public val entries: List<RoutingPolicy> = listOf(Chosen, RoundRobin, LeastReportedLoad)
+        /** All policies; computed on each call because the objects may be initialized after this companion. */
+        public val entries: List<RoutingPolicy>
+            get() = listOf(Chosen, RoundRobin, LeastReportedLoad)
 
         /** Returns the policy named [code]; null when there is none. */
         public fun ofCode(code: String): RoutingPolicy? = entries.firstOrNull { it.code == code }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/straggler/ServerRow.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/straggler/ServerRow.kt
@@ -43,7 +43,8 @@
         val current = summary
         if (current != null && newer.measuredAt <= current.measuredAt) return
         summary = newer
-        while (placed.isNotEmpty() && placed.first().at < newer.measuredAt) placed.removeFirst()
+        val included = newer.measuredAt - IN_FLIGHT
+        while (placed.isNotEmpty() && placed.first().at < included) placed.removeFirst()
     }
 
     fun merge(newer: LoadReport) {
@@ -51,8 +52,9 @@
         if (current == null || newer.asOf >= current.asOf) load = newer
     }
 
-    /** Notes a request that the next summaries count, until one measured later arrives. */
+    /** Notes a request until a summary counts it; after a failure it is the only one until a success or a backoff. */
     fun place(work: Int, now: Timestamp) {
+        if (failures > 0 && !isFailed(now)) failedUntil = now + FIRST_BACKOFF
         placed.addLast(PlacedRequest(now, work))
         while (placed.size > PLACED_LIMIT || placed.first().at < now - PLACED_LIFETIME) placed.removeFirst()
     }
@@ -156,6 +158,9 @@
         private val LONGEST_BACKOFF: Duration = 10.seconds
         private const val LARGEST_BACKOFF_EXPONENT = 6
 
+        /** Time that a reservation request takes to reach the owner. */
+        private val IN_FLIGHT: Duration = 10.milliseconds
+
         private val PLACED_LIFETIME: Duration = 1.seconds
         private const val PLACED_LIMIT = 1_024
     }
--- /dev/null
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/routing/PrefixTableTest.kt
@@ -0,0 +1,157 @@
+package org.arbutusnotch.core.routing
+
+import net.jqwik.api.AfterFailureMode
+import net.jqwik.api.Arbitraries
+import net.jqwik.api.Arbitrary
+import net.jqwik.api.EdgeCasesMode
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.Provide
+import net.jqwik.api.Tuple
+import org.arbutusnotch.core.fixture.SeededSequences
+import org.arbutusnotch.core.fixture.prefillServer
+import org.arbutusnotch.core.id.ContentDigest
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+
+/** Guards against predictions from prefixes that were evicted, and against a table that grows without bound. */
+internal class PrefixTableTest {
+    private val table = PrefixTable()
+    private val server = prefillServer(0)
+    private val digests = (1..5).map { ContentDigest("digest-$it") }
+
+    private fun stored(sequence: Long, digest: Int) = CacheEvent(sequence, CacheEventKind.STORED, digests[digest - 1])
+
+    private fun evicted(sequence: Long, digest: Int) = CacheEvent(sequence, CacheEventKind.EVICTED, digests[digest - 1])
+
+    @Test
+    fun `the longest cached prefix counts`() {
+        table.apply(server, listOf(stored(1, 1), stored(2, 2), stored(3, 3)), next = 3)
+        expectThat(table.cachedPieces(server, digests)).isEqualTo(3)
+        expectThat(table.cachedPieces(server, digests.take(2))).isEqualTo(2)
+        expectThat(table.cachedPieces(prefillServer(1), digests)).isEqualTo(0)
+    }
+
+    @Test
+    fun `an evicted prefix no longer counts`() {
+        table.apply(server, listOf(stored(1, 1), stored(2, 2), evicted(3, 2)), next = 3)
+        expectThat(table.cachedPieces(server, digests)).isEqualTo(1)
+    }
+
+    @Test
+    fun `own prefills count before their events arrive`() {
+        table.recordPrefill(server, digests.take(4))
+        expectThat(table.cachedPieces(server, digests)).isEqualTo(4)
+    }
+
+    @Test
+    fun `repeated events have no effect`() {
+        table.apply(server, listOf(stored(1, 1), evicted(2, 1)), next = 2)
+        table.apply(server, listOf(stored(1, 1)), next = 2)
+        expectThat(table.cachedPieces(server, digests)).isEqualTo(0)
+    }
+
+    @Test
+    fun `missing events drop as many of the oldest digests as may have been evicted`() {
+        table.apply(server, (1..5).map { stored(it.toLong(), it) }, next = 5)
+        table.apply(server, listOf(stored(8, 5)), next = 8)
+        expectThat(table.cachedPieces(server, digests.take(2))).isEqualTo(0)
+        expectThat(table.cachedPieces(server, digests.take(3))).isEqualTo(3)
+        expectThat(table.lastSequence(server)).isEqualTo(8)
+    }
+
+    @Test
+    fun `a restarted engine has an empty cache`() {
+        table.apply(server, (1..5).map { stored(it.toLong(), it) }, next = 5)
+        table.apply(server, listOf(stored(1, 1)), next = 1)
+        expectThat(table.cachedPieces(server, digests)).isEqualTo(1)
+    }
+
+    @Test
+    fun `servers that left the configuration are forgotten`() {
+        table.recordPrefill(server, digests)
+        table.retain(setOf(prefillServer(1)))
+        expectThat(table.size).isEqualTo(0)
+    }
+
+    /** Follows an engine with a cache of few pieces through a lossless or a lossy event stream. */
+    @Property(edgeCases = EdgeCasesMode.NONE, afterFailure = AfterFailureMode.RANDOM_SEED)
+    fun tableFollowsTheCacheOfAnEngineAndStaysBounded(@ForAll("steps") steps: List<CacheStep>) {
+        val engine = CachingEngine()
+        val table = PrefixTable(capacity = CachingEngine.CAPACITY * 2).apply { retain(setOf(server)) }
+        var lossless = true
+        steps.forEach { step ->
+            when (step) {
+                is CacheStep.Store -> engine.store(ContentDigest("digest-${step.digest}"))
+
+                is CacheStep.Poll -> {
+                    val pending = engine.events.filter { it.sequence > table.lastSequence(server) }
+                    val delivered = pending.drop(step.lost)
+                    if (delivered.size < pending.size) lossless = false
+                    table.apply(server, delivered + delivered.take(1), engine.lastSequence)
+                    if (lossless) {
+                        check(cached(table) == engine.cache) {
+                            "cache ${engine.cache}, table ${cached(table)}"
+                        }
+                    }
+                }
+            }
+            check(table.size <= CachingEngine.CAPACITY * 2) { "the table holds ${table.size} digests" }
+        }
+    }
+
+    private fun cached(table: PrefixTable) = (0 until DIGESTS).map { ContentDigest("digest-$it") }
+        .filter { table.cachedPieces(server, listOf(it)) == 1 }
+        .toSet()
+
+    @Test
+    fun `the capacity is shared by all servers`() {
+        val small = PrefixTable(capacity = 10)
+        (0..4).forEach { small.recordPrefill(prefillServer(it), digests) }
+        (0..4).forEach { small.recordPrefill(prefillServer(it), digests) }
+        expectThat(small.size).isLessThanOrEqualTo(10)
+    }
+
+    @Provide
+    fun steps(): Arbitrary<List<CacheStep>> = SeededSequences.of(
+        Arbitraries.frequencyOf<CacheStep>(
+            Tuple.of(4, Arbitraries.integers().between(0, DIGESTS - 1).map { CacheStep.Store(it) }),
+            Tuple.of(2, Arbitraries.of(0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 2).map { CacheStep.Poll(it) }),
+        ).list().ofMaxSize(80),
+    )
+
+    private companion object {
+        const val DIGESTS = 12
+    }
+}
+
+internal sealed interface CacheStep {
+    data class Store(val digest: Int) : CacheStep
+
+    /** Reads the new events, of which the first [lost] are missing. */
+    data class Poll(val lost: Int) : CacheStep
+}
+
+/** Caches a few pieces and evicts the least recently stored one. */
+internal class CachingEngine {
+    val cache = LinkedHashSet<ContentDigest>()
+    val events = mutableListOf<CacheEvent>()
+    var lastSequence = 0L
+        private set
+
+    fun store(digest: ContentDigest) {
+        cache.remove(digest)
+        cache.add(digest)
+        events += CacheEvent(++lastSequence, CacheEventKind.STORED, digest)
+        if (cache.size <= CAPACITY) return
+        val oldest = cache.first()
+        cache.remove(oldest)
+        events += CacheEvent(++lastSequence, CacheEventKind.EVICTED, oldest)
+    }
+
+    companion object {
+        const val CAPACITY = 5
+    }
+}
--- /dev/null
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/routing/RouterFixture.kt
@@ -0,0 +1,66 @@
+/*
+ * A router over a small deployment and short forms of its requests.
+ */
+package org.arbutusnotch.core.routing
+
+import org.arbutusnotch.core.configuration.DeploymentConfiguration
+import org.arbutusnotch.core.fixture.HOME
+import org.arbutusnotch.core.fixture.MODEL
+import org.arbutusnotch.core.fixture.OPERATION
+import org.arbutusnotch.core.fixture.SERVICE
+import org.arbutusnotch.core.fixture.START
+import org.arbutusnotch.core.fixture.decodeServer
+import org.arbutusnotch.core.fixture.deployment
+import org.arbutusnotch.core.fixture.summary
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.ContentDigest
+import org.arbutusnotch.core.straggler.ServerTable
+import org.arbutusnotch.core.time.Timestamp
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal class RouterFixture(
+    configuration: DeploymentConfiguration = deployment(),
+    policy: RoutingPolicy = RoutingPolicy.Chosen,
+    seed: Long = 1,
+) {
+    val servers = ServerTable().apply { configure(configuration) }
+    val prefixes = PrefixTable()
+    val router = Router(policy, HOME, Random(seed), servers, prefixes).apply { configure(configuration) }
+    var now: Timestamp = START
+
+    fun completion(
+        digests: List<ContentDigest> = emptyList(),
+        promptTokens: Int = 1_000,
+        priority: Int = 0,
+        patience: Duration = 10.seconds,
+        excluded: Set<BackendServerId> = emptySet(),
+    ) = CompletionRequest(MODEL, digests, promptTokens, 100, priority, now + patience, excluded)
+
+    fun place(request: CompletionRequest = completion()): Placement = router.placeCompletion(request, now)
+
+    fun placed(request: CompletionRequest = completion()): Placement.Placed = place(request) as Placement.Placed
+
+    fun call(
+        priority: Int = 0,
+        patience: Duration = 1.seconds,
+        excluded: Set<BackendServerId> = emptySet(),
+    ): ServicePlacement =
+        router.placeService(ServiceRequest(SERVICE, OPERATION, priority, now + patience, excluded), now)
+
+    /** Makes the decode servers in [slow] five times as slow as the others and lets the table exclude them. */
+    fun slowDown(vararg slow: Int, pool: Int = 6) {
+        (0 until pool).forEach { number ->
+            val micros = if (number in slow) 130_000L else 26_000L
+            servers.merge(summary(decodeServer(number), now, micros = micros))
+        }
+        servers.tick(now)
+    }
+
+    fun advance(duration: Duration = 20.milliseconds) {
+        now += duration
+        servers.tick(now)
+    }
+}
