Let an instance bind another address than the one that peers use

Cause: failure tests cut and delay the connections between instances, and a forwarded port is common where instances are reached through an address translation; the daemon could only bind the address that identifies it. Ruled out: a switch in the daemon that drops messages on command, which would be test code in the product. Change: optional setting instance.peer_listen_address. Conclusion: relays can stand between instances.

--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
@@ -105,7 +105,7 @@
     suspend fun start(): Result<Unit, StartError> {
         counters.observe(transport.traffic)
         val handler = PeerMessageHandler(loop, clock, gossip, configuration, slotOwner, ::handle)
-        transport.start(settings.instance.peerAddress, handler::handle)
+        transport.start(settings.instance.peerListenAddress, handler::handle)
             .fold({ }, { return Err(StartError("peer address ${it.address}: ${it.detail}")) })
         startPeriodicWork()
         servers.forEach { server ->
--- a/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/DaemonSettings.kt
+++ b/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/DaemonSettings.kt
@@ -24,6 +24,7 @@
  * @property entryAddress address for callers
  * @property peerAddress address for other instances, which identifies the instance
  * @property operatorAddress address for operators
+ * @property peerListenAddress address that is bound for other instances when it differs from [peerAddress]
  * @property incarnation number of this start; null means the start time in epoch milliseconds
  */
 public data class InstanceSettings(
@@ -32,6 +33,7 @@
     public val operatorAddress: String,
     public val failureDomain: FailureDomainId,
     public val incarnation: Incarnation? = null,
+    public val peerListenAddress: InstanceAddress = peerAddress,
 )
 
 /** Holds the address of the platform in the form `ip:port`. */
--- a/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/DaemonSettingsReader.kt
+++ b/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/DaemonSettingsReader.kt
@@ -66,6 +66,7 @@
 private fun TomlTableReader.instanceSettings(): InstanceSettings? {
     val entry = text("entry_address", TextForm.ADDRESS)
     val peer = text("peer_address", TextForm.ADDRESS)
+    val peerListen = if (has("peer_listen_address")) text("peer_listen_address", TextForm.ADDRESS) else peer
     val operator = text("operator_address", TextForm.ADDRESS)
     val failureDomain = text("failure_domain", TextForm.NAME)
     val incarnation = if (has("incarnation")) long("incarnation", DaemonRanges.INCARNATION) else null
@@ -78,6 +79,7 @@
         operatorAddress = operator ?: return null,
         failureDomain = FailureDomainId(failureDomain ?: return null),
         incarnation = incarnation?.let(::Incarnation),
+        peerListenAddress = InstanceAddress(peerListen ?: return null),
     )
 }
 
