--- /dev/null
+++ b/arbutusnotch-daemon/src/test/kotlin/org/arbutusnotch/daemon/backend/WriteBoundaryTest.kt
@@ -0,0 +1,182 @@
+/*
+ * The line between "nothing was written" and "may have been received", which decides whether a permit may be returned.
+ */
+package org.arbutusnotch.daemon.backend
+
+import com.github.michaelbull.result.getError
+import com.linecorp.armeria.client.ClientFactory
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import org.arbutusnotch.core.id.AttemptId
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.daemon.RawConnection
+import org.arbutusnotch.daemon.RawServer
+import org.arbutusnotch.daemon.ample
+import org.arbutusnotch.daemon.headerOf
+import org.arbutusnotch.daemon.now
+import org.arbutusnotch.daemon.test
+import org.arbutusnotch.daemon.unusedAddress
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNotEmpty
+import strikt.assertions.isTrue
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class WriteBoundaryTest {
+    private val factory: ClientFactory = backendClientFactory()
+    private val client = ServiceClient(factory)
+
+    @AfterAll
+    fun closeFactory() = factory.close()
+
+    /** Guards against a request that is `unknown` although no server was there to receive it. */
+    @Test
+    fun `a refused connection means that nothing was written`() = test {
+        val error = client.call(BackendServerId(unusedAddress()), call("1")).getError()
+
+        expectThat(error).isA<BackendError.NotConnected>().get { mayHaveBeenReceived }.isFalse()
+    }
+
+    /** Guards against a request that is sent although nobody waits for it any more. */
+    @Test
+    fun `a deadline that has passed means that nothing was written`() = test {
+        val seen = CopyOnWriteArrayList<String>()
+        RawServer { connection -> connection.readHead()?.let(seen::add) }.use { server ->
+            val error = client.call(server.id, call("1", deadline = now() - 1.milliseconds)).getError()
+
+            expectThat(error).isEqualTo(BackendError.TimedOut(mayHaveBeenReceived = false))
+            expectThat(seen).isEmpty()
+        }
+    }
+
+    /** Guards against a permit that is returned although the server read the request and then failed. */
+    @Test
+    fun `a server that reads the request and closes may have received it`() = test {
+        RawServer { connection -> connection.readHead() }.use { server ->
+            val error = client.call(server.id, call("1")).getError()
+
+            expectThat(error).isA<BackendError.BrokenAfterWrite>().get { mayHaveBeenReceived }.isTrue()
+        }
+    }
+
+    /** Guards against a permit that is returned although the answer is only late. */
+    @Test
+    fun `a server that answers too late may have received the request`() = test {
+        RawServer { connection ->
+            connection.readHead()
+            connection.readHead()
+        }.use { server ->
+            val error = client.call(server.id, call("1", deadline = now() + 200.milliseconds)).getError()
+
+            expectThat(error).isEqualTo(BackendError.TimedOut(mayHaveBeenReceived = true))
+        }
+    }
+
+    /** Guards against a truncated answer that is passed on as complete. */
+    @Test
+    fun `a server that closes in the middle of its answer may have run the request`() = test {
+        val truncated = listOf(
+            "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+            "HTTP/1.1 200 OK\r\ncontent-le",
+        )
+        for (answer in truncated) {
+            RawServer { connection ->
+                connection.readBody(connection.readHead().orEmpty())
+                connection.write(answer)
+            }.use { server ->
+                val error = client.call(server.id, call("1")).getError()
+
+                expectThat(error).isA<BackendError.BrokenAfterWrite>()
+            }
+        }
+    }
+
+    /** Guards against a retry or a redirect that the HTTP client does on its own: the operation would run twice. */
+    @Test
+    fun `a failed request reaches the server once`() = test {
+        val seen = CopyOnWriteArrayList<String>()
+        RawServer { connection ->
+            connection.readHead()?.let(seen::add)
+            connection.write("HTTP/1.1 307 Temporary Redirect\r\nlocation: /call/again\r\ncontent-length: 0\r\n\r\n")
+        }.use { server ->
+            client.call(server.id, call("1"))
+            expectThat(seen).hasSize(1)
+        }
+        RawServer { connection -> connection.readHead()?.let(seen::add) }.use { server ->
+            client.call(server.id, call("2"))
+            expectThat(seen.mapNotNull { headerOf(it, "x-attempt") }).containsExactly("1", "2")
+        }
+    }
+
+    /**
+     * Guards against a failure of any kind, also on a pooled connection that the server closes meanwhile, that is
+     * reported as not written although the server read the request.
+     */
+    @Test
+    fun `no request that a server read is reported as not written`() = test {
+        val read = ConcurrentHashMap.newKeySet<String>()
+        val random = Random(SEED)
+        RawServer { connection -> serveErratically(connection, random, read) }.use { server ->
+            val outcomes = ConcurrentHashMap<String, BackendError>()
+            for (round in 0 until ROUNDS) {
+                val calls = List(CONCURRENT) { index ->
+                    val attempt = "$round-$index"
+                    async { client.call(server.id, call(attempt)).getError()?.let { outcomes[attempt] = it } }
+                }
+                calls.awaitAll()
+            }
+
+            val notWritten = outcomes.filterValues { !it.mayHaveBeenReceived }.keys
+            val received = outcomes.filterValues { it.mayHaveBeenReceived }.keys
+            expectThat(notWritten.intersect(read)).isEmpty()
+            expectThat(received).isNotEmpty()
+        }
+    }
+
+    /** Ends the connection before, during or after a request, with a reset or in order, as [random] decides. */
+    private fun serveErratically(connection: RawConnection, random: Random, read: MutableSet<String>) {
+        while (true) {
+            if (random.nextInt(CHOICES) == 0) return end(connection, random)
+            val head = connection.readHead() ?: return
+            headerOf(head, "x-attempt")?.let(read::add)
+            connection.readBody(head)
+            if (random.nextInt(CHOICES) == 0) return end(connection, random)
+            connection.write("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n")
+            if (random.nextInt(CHOICES) == 0) return end(connection, random)
+            connection.write("done")
+        }
+    }
+
+    private fun end(connection: RawConnection, random: Random) {
+        if (random.nextBoolean()) connection.reset() else connection.close()
+    }
+
+    private fun call(attempt: String, deadline: org.arbutusnotch.core.time.Timestamp = ample()) = ServiceCall(
+        operation = "book",
+        attempt = AttemptId(attempt),
+        body = "{}".toByteArray(),
+        deadline = deadline,
+        idempotencyKey = "key",
+        contentType = "application/json",
+    )
+
+    private companion object {
+        const val SEED = 20_261
+        const val ROUNDS = 100
+        const val CONCURRENT = 10
+        const val CHOICES = 4
+    }
+}
