Add the operators' tool arbutusnotchctl

Cause: the operator ports had no client. Operators need to check a file before they publish it and to know when it is active on every instance.

Ruled out: the daemon's reply types, because the tool must work with daemons of another version; it reads the keys that it needs and ignores others. Clikt's exit code 1 for usage errors, because 1 means that a state was not reached. A wait that ignores unreachable instances, because a partitioned instance still serves its callers with the earlier revision.

Conclusion: the commands work against the fake; the daemon is not covered yet.

--- /dev/null
+++ b/arbutusnotch-cli/src/test/kotlin/org/arbutusnotch/cli/InstanceCommandsTest.kt
@@ -0,0 +1,143 @@
+/*
+ * The commands that pass on what instances answer: entry-points, explain, drain, quarantine, counters.
+ */
+package org.arbutusnotch.cli
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonObject
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+class InstanceCommandsTest {
+    /** Guards against a request to the operator port for what only the entry port has. */
+    @Test
+    fun `entry points are asked from the entry address of the instance`() {
+        val answers = mapOf("GET /v1/entry-points" to ENTRY_POINTS)
+        FakeInstance(answers = answers).use { instance ->
+            val result = arbutusnotchctl("entry-points", "--instance", instance.address)
+            expectThat(result.exitCode).isEqualTo(0)
+            expectThat(result.row(instance.address)).contains("10.0.0.1:8080,10.0.0.2:8080")
+            expectThat(instance.requests).containsExactly("GET /operator/status", "GET /v1/entry-points")
+        }
+    }
+
+    /** Guards against an explanation of another request than the one asked about. */
+    @Test
+    fun `explain sends the request and shows every candidate`() {
+        FakeInstance(answers = mapOf("GET /operator/explain" to EXPLANATION)).use { instance ->
+            val arguments = arrayOf("--model", "briefing", "--prompt-tokens", "6000", "--priority", "9")
+            val result = arbutusnotchctl("explain", *arguments, "--instance", instance.address)
+            expectThat(result.exitCode).isEqualTo(0)
+            expectThat(instance.requests)
+                .containsExactly("GET /operator/explain?model=briefing&prompt_tokens=6000&priority=9")
+            expectThat(result.row("true"))
+                .containsExactly(instance.address, "10.1.0.1:9000", "10.1.0.1:9000", "4", "true")
+            expectThat(result.row("false")).contains("10.1.0.2:9000")
+        }
+    }
+
+    /** Guards against half a question, for which an instance could only guess. */
+    @Test
+    fun `explain needs the keys of one kind of request`() {
+        listOf(
+            emptyArray(),
+            arrayOf("--model", "briefing"),
+            arrayOf("--service", "booking"),
+            arrayOf("--model", "m", "--prompt-tokens", "1", "--priority", "1", "--service", "s", "--operation", "o"),
+        ).forEach { arguments ->
+            val result = arbutusnotchctl("explain", *arguments, "--instance", unusedAddress())
+            expectThat(result.exitCode).isEqualTo(2)
+            expectThat(result.standardError).contains("--service and --operation")
+        }
+    }
+
+    /** Guards against a refusal that looks like an empty answer. */
+    @Test
+    fun `a refusal ends with 1 and shows the answer of the instance`() = withChain(1) { (instance) ->
+        val arguments = arrayOf("--service", "booking", "--operation", "book")
+        val result = arbutusnotchctl("explain", *arguments, "--instance", instance.address)
+        expectThat(result.exitCode).isEqualTo(1)
+        expectThat(result.standardOutput).isEmpty()
+        expectThat(result.standardError).contains("${instance.address}: refused with status 404: no such path")
+    }
+
+    /** Guards against a drain of the whole deployment. */
+    @Test
+    fun `only named instances are drained`() {
+        val answers = mapOf("POST /operator/drain" to """{"state":"draining"}""")
+        withChain(2, answers) { (first, second) ->
+            val result = arbutusnotchctl("drain", "--instance", first.address)
+            expectThat(result.exitCode).isEqualTo(0)
+            expectThat(result.row(first.address)).containsExactly(first.address, "draining")
+            expectThat(first.requests).containsExactly("POST /operator/drain")
+            expectThat(second.requests).isEmpty()
+        }
+    }
+
+    /** Guards against a quarantined request that the operator cannot see. */
+    @Test
+    fun `quarantined digests are listed with their servers`() {
+        FakeInstance(answers = mapOf("GET /operator/quarantine" to QUARANTINE)).use { instance ->
+            val result = arbutusnotchctl("quarantine", "list", "--instance", instance.address)
+            expectThat(result.exitCode).isEqualTo(0)
+            expectThat(result.row("abc")).containsExactly(instance.address, "abc", "10.1.0.1:9000,10.1.0.2:9000", "99")
+        }
+    }
+
+    /** Guards against a cleared digest that another instance keeps refusing. */
+    @Test
+    fun `the quarantine is cleared on every instance`() {
+        val answers = mapOf("DELETE /operator/quarantine" to """{"cleared":1}""")
+        withChain(3, answers) { instances ->
+            val result = arbutusnotchctl("quarantine", "clear", "--instance", instances.first().address)
+            expectThat(result.exitCode).isEqualTo(0)
+            instances.forEach { instance -> expectThat(instance.requests.toList()).contains(DELETE_QUARANTINE) }
+        }
+    }
+
+    /** Guards against counters of one instance that are taken for those of the deployment. */
+    @Test
+    fun `counters are summed over all instances`() {
+        val answers = mapOf("GET /operator/counters" to """{"refused_capacity":1234567.0,"answered":2}""")
+        withChain(3, answers) { instances ->
+            val table = arbutusnotchctl("counters", "--instance", instances.first().address)
+            expectThat(table.exitCode).isEqualTo(0)
+            expectThat(table.standardOutput.trim().lines().map { it.split(Regex(" +")) }).containsExactly(
+                listOf("COUNTER", "SUM"),
+                listOf("answered", "6"),
+                listOf("refused_capacity", "3703701"),
+            )
+            val json = arbutusnotchctl("counters", "--output", "json", "--instance", instances.first().address)
+            expectThat(Json.parseToJsonElement(json.standardOutput).jsonObject.keys)
+                .isEqualTo(instances.map { it.address }.toSortedSet())
+        }
+    }
+
+    /** Guards against sums that silently leave out an instance. */
+    @Test
+    fun `counters of a deployment with an unreachable instance end with 3`() {
+        val stopped = unusedAddress()
+        FakeInstance(answers = mapOf("GET /operator/counters" to """{"answered":2}""")).use { instance ->
+            instance.peerAddresses = listOf(stopped)
+            val result = arbutusnotchctl("counters", "--instance", instance.address)
+            expectThat(result.exitCode).isEqualTo(3)
+            expectThat(result.row("answered")).containsExactly("answered", "2")
+            expectThat(result.standardError).contains("$stopped: unreachable: ")
+        }
+    }
+
+    private companion object {
+        const val DELETE_QUARANTINE = "DELETE /operator/quarantine"
+        const val ENTRY_POINTS =
+            """{"entry_points":["10.0.0.1:8080","10.0.0.2:8080"],"valid_until_epoch_millis":5,"issuer_prefix":null}"""
+        const val EXPLANATION =
+            """{"decision":"10.1.0.1:9000","candidates":[{"server":"10.1.0.1:9000","free_slots":4,"selected":true},
+            {"server":"10.1.0.2:9000","free_slots":0,"selected":false}]}"""
+        const val QUARANTINE =
+            """{"quarantined":[{"digest":"abc","servers":["10.1.0.1:9000","10.1.0.2:9000"],"until_epoch_millis":99}]}"""
+    }
+}
--- /dev/null
+++ b/arbutusnotch-cli/src/test/kotlin/org/arbutusnotch/cli/StatusCommandTest.kt
@@ -0,0 +1,87 @@
+/*
+ * `arbutusnotchctl status`
+ */
+package org.arbutusnotch.cli
+
+import kotlinx.serialization.json.Json
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+
+class StatusCommandTest {
+    /** Guards against instances that nobody looks at because the operator did not name them. */
+    @Test
+    fun `all instances are found from one, also through peers of peers`() = withChain(3) { instances ->
+        val result = arbutusnotchctl("status", "--instance", instances.first().address)
+        expectThat(result.exitCode).isEqualTo(0)
+        expectThat(result.standardError).isEmpty()
+        instances.forEach { instance -> expectThat(result.row(instance.address)[3]).isEqualTo("serving") }
+    }
+
+    /** Guards against a table whose columns do not hold what their heads say. */
+    @Test
+    fun `a row has revision, digest, servers, conflicts and peers`() = withChain(2) { instances ->
+        instances.first().revision = { 41 }
+        instances.first().digest = "0123456789abcdef".repeat(4)
+        val result = arbutusnotchctl("status", "--instance", instances.first().address)
+        val heads = result.standardOutput.lines().first().split(Regex(" {2,}"))
+        val row = heads.zip(result.row("10.0.0.1:${instances.first().address.substringAfter(':')}")).toMap()
+        expectThat(row) {
+            get { get("DOMAIN") }.isEqualTo("east-a")
+            get { get("REVISION") }.isEqualTo("41")
+            get { get("DIGEST") }.isEqualTo("0123456789ab")
+            get { get("CANDIDATE") }.isEqualTo("-")
+            get { get("SERVERS") }.isEqualTo("2 (1 excluded)")
+            get { get("CONFLICTS") }.isEqualTo("0")
+            get { get("PEERS") }.isEqualTo("1/1")
+        }
+    }
+
+    /** Guards against a dead instance that is missing from the list, or an exit code that hides it. */
+    @Test
+    fun `an unreachable peer has a row and exit code 3`() {
+        val stopped = unusedAddress()
+        FakeInstance().use { instance ->
+            instance.peerAddresses = listOf(stopped)
+            val result = arbutusnotchctl("status", "--instance", instance.address)
+            expectThat(result.exitCode).isEqualTo(3)
+            expectThat(result.row(stopped)).contains("unreachable")
+            expectThat(result.row(instance.address)).contains("serving")
+            expectThat(result.standardError).contains("$stopped: unreachable: ")
+        }
+    }
+
+    /** Guards against one instance that is listed and counted twice because it was named by its host name. */
+    @Test
+    fun `an instance named by an alias is listed once`() = withChain(2) { instances ->
+        instances.last().peerAddresses = listOf(instances.first().address)
+        val alias = instances.first().address.replace("127.0.0.1", "localhost")
+        val result = arbutusnotchctl("status", "--output", "json", "--instance", alias)
+        val addresses = Json.decodeFromString<List<StatusResult>>(result.standardOutput).map { it.operatorAddress }
+        expectThat(addresses).containsExactlyInAnyOrder(instances.map { it.address })
+    }
+
+    /** Guards against JSON that leaves out what the table shows. */
+    @Test
+    fun `JSON has the whole status of each instance`() = withChain(1) { (instance) ->
+        val result = arbutusnotchctl("status", "--output", "json", "--instance", instance.address)
+        val statuses = Json.decodeFromString<List<StatusResult>>(result.standardOutput)
+        expectThat(statuses).hasSize(1).get { single().status }.isNotNull().get { servers }.hasSize(2)
+    }
+
+    /** Guards against an exception when the address belongs to another program. */
+    @Test
+    fun `an answer of another program is told as unreadable`() {
+        FakeInstance(answers = mapOf("GET /operator/status" to "<html>")).use { instance ->
+            val result = arbutusnotchctl("status", "--instance", instance.address)
+            expectThat(result.exitCode).isEqualTo(1)
+            expectThat(result.standardError).contains("${instance.address}: unreadable answer: ")
+            expectThat(result.row(instance.address)).contains("unreadable")
+        }
+    }
+}
--- a/arbutusnotch-settings/src/test/kotlin/org/arbutusnotch/settings/DaemonSettingsTest.kt
+++ b/arbutusnotch-settings/src/test/kotlin/org/arbutusnotch/settings/DaemonSettingsTest.kt
@@ -49,6 +49,7 @@
                 answerBytes = 2_006,
                 workerThreads = 7,
                 drainTimeout = 2_008.seconds,
+                tokenLifetime = 209.seconds,
             ),
         )
         expectThat(settings?.routing?.policy).isEqualTo(RoutingPolicyName.LEAST_REPORTED_LOAD)
@@ -89,6 +90,8 @@
         "worker_threads, 65, 1, 64",
         "drain_seconds, 0, 1, 3600",
         "drain_seconds, 3601, 1, 3600",
+        "token_seconds, 0, 1, 600",
+        "token_seconds, 601, 1, 600",
     )
     fun `limits have ranges`(key: String, value: Long, lowest: Long, highest: Long) {
         val errors = daemonErrors("$VALID_DAEMON_SETTINGS[limits]\n$key = $value\n")
@@ -139,6 +142,7 @@
 answer_bytes = 2006
 worker_threads = 7
 drain_seconds = 2008
+token_seconds = 209
 
 [routing]
 policy = "least-reported-load"
