--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
@@ -1,5 +1,5 @@
 /*
- * One instance: it starts the control loop, the peer transport, the HTTP interfaces and the periodic work, and ends them.
+ * One instance: it starts and ends the control loop, the peer transport, the HTTP interfaces and the periodic work.
  */
 package org.arbutusnotch.daemon
 
@@ -38,7 +38,6 @@
 import org.arbutusnotch.daemon.control.MonotonicClock
 import org.arbutusnotch.daemon.control.PendingReservations
 import org.arbutusnotch.daemon.control.SlotOwnerService
-import org.arbutusnotch.daemon.control.TICK_INTERVAL
 import org.arbutusnotch.daemon.control.TickSystems
 import org.arbutusnotch.daemon.entry.EntryContext
 import org.arbutusnotch.daemon.entry.EntryServer
@@ -140,7 +139,11 @@
             )
             true
         }
-        if (began) log.info("drain_started") { field("hard_deadline_seconds", settings.limits.drainTimeout.inWholeSeconds) }
+        if (began) {
+            log.info("drain_started") {
+                field("hard_deadline_seconds", settings.limits.drainTimeout.inWholeSeconds)
+            }
+        }
     }
 
     /** Ends a graceful shutdown at once. */
@@ -179,22 +182,28 @@
         .gracefulShutdownTimeoutMillis(0, 0)
 
     private fun startPeriodicWork() {
-        periodically(TICK_INTERVAL) {
-            val events = loop.run {
-                val now = clock.now()
-                reporter.observeSilence(servers, now)
-                systems.tick(now)
-            }
-            events.forEach { handle(it) }
-        }
+        scope.launch { tickForever() }
         periodically(GOSSIP_INTERVAL) { send(gossip.nextRound()) }
         periodically(REPORT_INTERVAL) { reporter.report() }
         periodically(SUPERVISION_INTERVAL) { supervisor.round() }
-        val platform = PlatformClient(clientFactory, settings.platform.address)
+        val platform = PlatformClient(settings.platform.address, clientFactory, clock = clock::now)
         scope.launch { platform.watchConfiguration().collect { take(it) } }
         scope.launch { platform.watchInstances().collect { take(it) } }
     }
 
+    private suspend fun tickForever() {
+        while (true) {
+            val (events, interval) = loop.run {
+                val now = clock.now()
+                if (reporter.isActive) lastWork = now
+                reporter.observeSilence(servers, now)
+                systems.tick(now) to systems.interval(now)
+            }
+            events.forEach { handle(it) }
+            delay(interval)
+        }
+    }
+
     private fun periodically(interval: Duration, action: suspend () -> Unit) {
         scope.launch {
             while (isActive) {
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryServer.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryServer.kt
@@ -5,13 +5,13 @@
 
 import com.linecorp.armeria.common.AggregatedHttpRequest
 import com.linecorp.armeria.common.ContentTooLargeException
+import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.ResponseHeaders
-import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServerBuilder
 import com.linecorp.armeria.server.ServiceRequestContext
@@ -23,6 +23,7 @@
 import org.arbutusnotch.core.configuration.CallerDirectory
 import org.arbutusnotch.core.configuration.CallerIdentity
 import org.arbutusnotch.core.id.RequestId
+import org.arbutusnotch.core.membership.DrainState
 import org.arbutusnotch.core.message.InstanceState
 import org.arbutusnotch.core.outcome.RefusalReason
 import org.arbutusnotch.core.outcome.RequestOutcome
@@ -47,7 +48,8 @@
 }
 
 /** Ends a request before it runs; [refusal] is what the caller is told. */
-internal class RefusedException(val refusal: RequestOutcome.NotRun, message: String) : Exception(message)
+internal class RefusedException(val refusal: RequestOutcome.NotRun, message: String, cause: Throwable? = null) :
+    Exception(message, cause)
 
 /** Serves callers over [entry] within [limits]. */
 internal class EntryServer(
@@ -78,7 +80,10 @@
     private fun respond(handle: suspend (RequestId, Timestamp) -> HttpResponse): HttpResponse {
         val receivedAt = entry.clock.now()
         val running = scope.future {
-            val id = entry.loop.run { nextRequest() }
+            val id = entry.loop.run {
+                lastWork = receivedAt
+                nextRequest()
+            }
             try {
                 handle(id, receivedAt)
             } catch (refused: RefusedException) {
@@ -121,7 +126,10 @@
     }
 
     private suspend fun servingDirectory(): CallerDirectory {
-        val (state, directory) = entry.loop.run { instances.ownRow.state to directory }
+        val (state, directory, drain) = entry.loop.run { Triple(instances.ownRow.state, directory, drain) }
+        if (drain.leaving && drain !is DrainState.LeavingLists) {
+            throw refused(RefusalReason.DRAINING, "the instance is shutting down; ask for a new list of entry points")
+        }
         if (directory == null || state == InstanceState.STARTING) {
             val message = "the instance has no active configuration yet"
             throw refused(RefusalReason.NO_CONFIGURATION, message, entry.clock.now() + RETRY_DELAY)
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/StreamReporter.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/StreamReporter.kt
@@ -1,6 +1,6 @@
 /*
- * The progress reports of this entry to slot owners. They renew the reservations of running attempts and tell owners the
- * observed speed; one message per server carries all attempts there.
+ * The progress reports of this entry to slot owners. They renew the reservations of running attempts and tell owners
+ * the observed speed; one message per server carries all attempts there.
  */
 package org.arbutusnotch.daemon.entry
 
@@ -74,6 +74,10 @@
 ) {
     private val running = ConcurrentHashMap<AttemptId, RunningAttempt>()
 
+    /** Whether any attempt is running. */
+    val isActive: Boolean
+        get() = running.isNotEmpty()
+
     /** Starts to report [attempt]. */
     fun start(attempt: RunningAttempt): RunningAttempt {
         running[attempt.attempt] = attempt
