--- a/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/engine/EngineProtocol.kt
+++ b/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/engine/EngineProtocol.kt
@@ -60,7 +60,7 @@
 /**
  * Is the last line of a decode stream.
  *
- * @property tokens number of tokens in this stream
+ * @property tokens number of tokens of the whole answer, including those before the first token of this stream
  */
 @Serializable
 public data class EndLine(public val attempt: String, public val end: Boolean, public val tokens: Int)
--- a/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/engine/EngineWork.kt
+++ b/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/engine/EngineWork.kt
@@ -86,7 +86,7 @@
     }
 
     fun writeEnd() {
-        writer?.tryWrite(HttpData.ofUtf8(wireJson.encodeToString(EndLine(call.attempt, true, sentTokens)) + "\n"))
+        writer?.tryWrite(HttpData.ofUtf8(wireJson.encodeToString(EndLine(call.attempt, true, nextIndex)) + "\n"))
         writer?.close()
     }
 }
--- /dev/null
+++ b/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/load/LoadRunner.kt
@@ -0,0 +1,44 @@
+/*
+ * Sends the requests of a plan at their arrival times, however long earlier ones take.
+ */
+package org.arbutusnotch.testing.load
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+
+/** Runs a load against the deployment behind [client]. */
+public class LoadRunner(private val client: CallerClient) {
+    private val sentCount = AtomicInteger()
+    private val finishedCount = AtomicInteger()
+
+    /** Requests that were sent so far. */
+    public val sent: Int get() = sentCount.get()
+
+    /** Requests that have ended so far. */
+    public val finished: Int get() = finishedCount.get()
+
+    /** Sends every request of [plan] and returns when the last one has ended. */
+    public suspend fun run(plan: LoadPlan): LoadResult = coroutineScope {
+        val start = System.nanoTime()
+        val running = plan.requests.map { scheduled ->
+            waitUntil(start, scheduled.arrival)
+            sentCount.incrementAndGet()
+            async {
+                client.send(scheduled, start + scheduled.arrival.inWholeNanoseconds).also {
+                    finishedCount.incrementAndGet()
+                }
+            }
+        }
+        LoadResult(running.awaitAll())
+    }
+
+    private suspend fun waitUntil(startNanos: Long, arrival: Duration) {
+        val wait = arrival - (System.nanoTime() - startNanos).nanoseconds
+        if (wait.isPositive()) delay(wait)
+    }
+}
