Release engine memory whose cancellation was lost or came too early

Cause: a cancellation was sent once, and one that overtook the request that it should end left the memory held until the deadline of the request; a completion that an engine had worked for was given up when the next engine had no slot.

Ruled out: cancelling what an unreachable holder has not reported, because its streams may be alive behind a partition.

Conclusion: engine memory is released without the caller's deadline.

--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/backend/BackendSupervisor.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/backend/BackendSupervisor.kt
@@ -116,7 +116,10 @@
 
     private suspend fun sweepHeld(server: SupervisedServer) {
         val requests = engine.held(server.address, deadline()).get() ?: return
-        val cancelled = loop.run { held.toCancel(requests, instances, clock.now()) }
+        val cancelled = loop.run {
+            val reported = reservations.reservations(server.address).map { it.attempt }.toSet()
+            held.toCancel(requests, reported, instances, clock.now())
+        }
         cancelled.forEach { (request, reason) ->
             engine.cancel(server.address, request.attempt, deadline()).onOk {
                 counters.heldCancelled(reason)
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionRun.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionRun.kt
@@ -8,6 +8,7 @@
 
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.message.ReservationKind
@@ -36,16 +37,34 @@
     /** Runs the completion to its end and returns its outcome. */
     suspend fun run(): RequestOutcome {
         entry.loop.run { retryBudget.recordFirstAttempt(entry.clock.now()) }
-        while (true) {
-            val leg = runAllowed()
-            if (leg is Leg.Complete) return RequestOutcome.Answered
-            val refusal = if (leg is Leg.Refused) leg else continueAfter(leg as Leg.Failed) ?: continue
-            return if (engineReached) {
-                RequestOutcome.Unknown(refusal.reason, refusal.retryAt)
-            } else {
-                RequestOutcome.NotRun(refusal.reason, refusal.retryAt)
-            }
-        }
+        var outcome: RequestOutcome? = null
+        while (outcome == null) outcome = outcomeAfter(runAllowed())
+        return outcome
+    }
+
+    /** Returns the outcome of the completion, or null when another leg is run. */
+    private suspend fun outcomeAfter(leg: Leg): RequestOutcome? = when (leg) {
+        is Leg.Complete -> RequestOutcome.Answered
+        is Leg.Refused -> if (awaitCapacity(leg)) null else outcome(leg)
+        is Leg.Failed -> continueAfter(leg)?.let(::outcome)
+    }
+
+    private fun outcome(refused: Leg.Refused): RequestOutcome = if (engineReached) {
+        RequestOutcome.Unknown(refused.reason, refused.retryAt)
+    } else {
+        RequestOutcome.NotRun(refused.reason, refused.retryAt)
+    }
+
+    /**
+     * Waits for capacity when an engine has already worked for the request, since its caller would have to pay for that
+     * work again. Returns false when the request cannot end in time.
+     */
+    private suspend fun awaitCapacity(refused: Leg.Refused): Boolean {
+        val retryAt = refused.retryAt ?: return false
+        if (!engineReached || refused.reason !in TEMPORARY) return false
+        if (retryAt + work.targets.firstToken > work.deadline) return false
+        delay(maxOf(retryAt - entry.clock.now(), SHORTEST_START_WAIT))
+        return true
     }
 
     /** Runs one leg unless the request is known to crash engines. */
@@ -213,6 +232,8 @@
     private companion object {
         val RETRY_DELAY: Duration = 500.milliseconds
 
+        val TEMPORARY = setOf(RefusalReason.CAPACITY, RefusalReason.NO_BACKEND_SERVER)
+
         /** Servers that a request may leave; a third attempt is the last one that the retry rules allow. */
         const val MOST_MOVES = 2
         val PROBE_TIMEOUT: Duration = 300.milliseconds
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryContext.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryContext.kt
@@ -4,6 +4,7 @@
 package org.arbutusnotch.daemon.entry
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.arbutusnotch.core.id.AttemptId
 import org.arbutusnotch.core.id.BackendServerId
@@ -39,7 +40,12 @@
 ) {
     /** Releases what [server] holds for [attempt], without waiting for it. The engine ignores unknown attempts. */
     fun release(server: BackendServerId, attempt: AttemptId) {
-        background.launch { engine.cancel(server, attempt, clock.now() + CANCEL_TIMEOUT) }
+        background.launch {
+            repeat(CANCEL_ATTEMPTS) {
+                if (engine.cancel(server, attempt, clock.now() + CANCEL_TIMEOUT).isOk) return@launch
+                delay(CANCEL_RETRY_DELAY)
+            }
+        }
     }
 
     /** Runs [block] on the control thread without waiting for it, also when the request was cancelled. */
@@ -49,5 +55,7 @@
 
     private companion object {
         val CANCEL_TIMEOUT: Duration = 2.seconds
+        val CANCEL_RETRY_DELAY: Duration = 200.milliseconds
+        const val CANCEL_ATTEMPTS = 3
     }
 }
