Draw the length of property sequences uniformly

Cause: jqwik prefers short lists, so that a missing expiry of silent holders was found only in sequence 57 of the reservation properties.

Ruled out: a minimum length, because short failing sequences would not shrink.

Change: all property sequences draw their length uniformly.

Conclusion: the same number of sequences covers more steps.

--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/reservation/ReservationSteps.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/reservation/ReservationSteps.kt
@@ -6,6 +6,7 @@
 import net.jqwik.api.Arbitraries
 import net.jqwik.api.Arbitrary
 import net.jqwik.api.Combinators
+import net.jqwik.api.RandomDistribution
 import net.jqwik.api.Tuple
 
 internal const val HOLDERS = 4
@@ -45,7 +46,7 @@
         weighted(8, Arbitraries.integers().between(1, 900).map { ReservationStep.Wait(it) }),
         weighted(1, holders().map { ReservationStep.Restart(it) }),
         weighted(1, Arbitraries.of(true, false, false).map { ReservationStep.SetLeaving(it) }),
-    ).list().ofMaxSize(LONGEST_SEQUENCE)
+    ).list().ofMaxSize(LONGEST_SEQUENCE).withSizeDistribution(RandomDistribution.uniform())
 
     private fun weighted(
         weight: Int,
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/retry/RetryBudgetTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/retry/RetryBudgetTest.kt
@@ -7,6 +7,7 @@
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import net.jqwik.api.Provide
+import net.jqwik.api.RandomDistribution
 import net.jqwik.api.Tuple
 import org.arbutusnotch.core.fixture.START
 import org.arbutusnotch.core.fixture.SeededSequences
@@ -73,7 +74,7 @@
             Tuple.of(3, Arbitraries.integers().between(1, 2_500).map { BudgetStep.Wait(it) }),
             Tuple.of(2, Arbitraries.integers().between(1, 40).map { BudgetStep.FirstAttempts(it) }),
             Tuple.of(5, Arbitraries.of(BudgetStep.Retry)),
-        ).list().ofMaxSize(100),
+        ).list().ofMaxSize(100).withSizeDistribution(RandomDistribution.uniform()),
     )
 }
 
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/routing/PrefixTableTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/routing/PrefixTableTest.kt
@@ -7,6 +7,7 @@
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import net.jqwik.api.Provide
+import net.jqwik.api.RandomDistribution
 import net.jqwik.api.Tuple
 import org.arbutusnotch.core.fixture.SeededSequences
 import org.arbutusnotch.core.fixture.prefillServer
@@ -119,7 +120,7 @@
         Arbitraries.frequencyOf<CacheStep>(
             Tuple.of(4, Arbitraries.integers().between(0, DIGESTS - 1).map { CacheStep.Store(it) }),
             Tuple.of(2, Arbitraries.of(0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 2).map { CacheStep.Poll(it) }),
-        ).list().ofMaxSize(80),
+        ).list().ofMaxSize(80).withSizeDistribution(RandomDistribution.uniform()),
     )
 
     private companion object {
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/routing/RouterPropertyTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/routing/RouterPropertyTest.kt
@@ -8,6 +8,7 @@
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import net.jqwik.api.Provide
+import net.jqwik.api.RandomDistribution
 import net.jqwik.api.Tuple
 import org.arbutusnotch.core.fixture.DECODE_POOL
 import org.arbutusnotch.core.fixture.PREFILL_POOL
@@ -156,7 +157,7 @@
                     Combinators.combine(tokens, patience, sets, priorities)
                         .`as` { t, p, e, r -> RouterStep.Place(t, p, e, r) },
                 ),
-            ).list().ofMaxSize(80),
+            ).list().ofMaxSize(80).withSizeDistribution(RandomDistribution.uniform()),
         )
     }
 
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/straggler/ServerTablePropertyTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/straggler/ServerTablePropertyTest.kt
@@ -8,6 +8,7 @@
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import net.jqwik.api.Provide
+import net.jqwik.api.RandomDistribution
 import net.jqwik.api.Tuple
 import org.arbutusnotch.core.fixture.DECODE_POOL
 import org.arbutusnotch.core.fixture.START
@@ -148,7 +149,7 @@
                         .`as` { count, leaving -> SpeedStep.Configure(count, leaving) },
                 ),
                 Tuple.of(6, Arbitraries.integers().between(1, 400).map { SpeedStep.Wait(it) }),
-            ).list().ofMaxSize(100),
+            ).list().ofMaxSize(100).withSizeDistribution(RandomDistribution.uniform()),
         )
     }
 }
