Leave ended instances out of status and wait

Cause: in a trial with three daemons, an instance that had ended after a drain stayed in its peers' views for 10 minutes, so status ended with 3 and wait with 1 after every planned shutdown. The counters table had 100 rows of which 90 were 0. An instance with peer_listen_address could be configured to bind the entry address twice.

Ruled out: leaving out every instance that its peers do not reach, because a partitioned instance still serves its callers with the earlier revision.

Change: peers that were draining and are unreachable are not asked. The bound addresses of an instance must differ. The timeout of a request of wait is 3 s instead of 2 s, because the first request of a cold JVM took longer on the loaded build machine.

--- a/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/FleetReader.kt
+++ b/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/FleetReader.kt
@@ -22,6 +22,11 @@
     val statuses: List<InstanceStatus> = instances.mapNotNull { it.status }
     val errors: List<InstanceError> = instances.mapNotNull { it.error }
 
+    /** Returns what the instances that answered know of the one at [operatorAddress]; null when none knows it. */
+    fun peerView(operatorAddress: String): PeerStatus? = statuses.asSequence()
+        .flatMap { status -> status.peers }
+        .firstOrNull { peer -> peer.operatorAddress == operatorAddress }
+
     /** Returns how many of the instances that answered reach the one at [operatorAddress]. */
     fun peersThatReach(operatorAddress: String): Int = statuses.count { status ->
         status.peers.any { peer -> peer.operatorAddress == operatorAddress && peer.reachable }
@@ -39,7 +44,7 @@
             asked += next
             val answers = readAll(next)
             answers.forEach { reading -> readings[reading.operatorAddress] = reading }
-            val peers = answers.flatMap { reading -> reading.status?.peers.orEmpty() }
+            val peers = answers.flatMap { reading -> reading.status?.peers.orEmpty() }.filterNot { hasEnded(it) }
             next = peers.map { peer -> peer.operatorAddress }.distinct() - asked - readings.keys
         }
         return FleetReading(readings.values.toList())
@@ -49,9 +54,20 @@
         addresses.map { address -> async { reading(address, client.status(address)) } }.awaitAll()
     }
 
+    /**
+     * Returns whether [peer] was shutting down and has become silent.
+     *
+     * Instances keep such a row for minutes, in which it would otherwise look like a failed instance.
+     */
+    private fun hasEnded(peer: PeerStatus): Boolean = !peer.reachable && peer.state in LEAVING_STATES
+
     /** Names an instance as it names itself, so that an alias such as a host name does not make it two instances. */
     private fun reading(address: String, result: Result<InstanceStatus, InstanceError>): InstanceReading {
         val status = result.get()
         return InstanceReading(status?.operatorAddress ?: address, status, result.getError())
     }
+
+    private companion object {
+        val LEAVING_STATES = setOf("draining", "leaving")
+    }
 }
--- a/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/InstanceCommands.kt
+++ b/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/InstanceCommands.kt
@@ -8,6 +8,7 @@
 import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.groups.provideDelegate
+import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.restrictTo
@@ -55,7 +56,11 @@
         val objects = successes.flatMap { (address, answer) ->
             rows(answer).map { row -> JsonObject(mapOf("instance" to JsonPrimitive(address)) + row) }
         }
-        if (objects.isNotEmpty()) printObjects(objects)
+        when {
+            successes.isEmpty() -> Unit
+            objects.isEmpty() -> echo("no entries")
+            else -> printObjects(objects)
+        }
     }
 }
 
@@ -101,7 +106,12 @@
         val answers = OperatorClient(options.timeout).use { client ->
             askEach(options.instances) { address -> client.get(address, path) }
         }
-        printAnswers(answers) { answer -> explanationRows(answer.asObject()) }
+        if (options.output == OutputFormat.TABLE) printDecisions(answers)
+        printAnswers(answers) { answer -> answer.firstArray().map { candidate -> candidate.asObject() } }
+    }
+
+    private fun printDecisions(answers: InstanceAnswers) = answers.forEach { (address, answer) ->
+        answer.get()?.let { echo("$address: ${cellText(it.asObject()["decision"])}") }
     }
 
     private fun query(): QueryParams {
@@ -116,14 +126,6 @@
         return parameters.build()
     }
 
-    /** The decision is repeated in each row, so that one row can be read alone. */
-    private fun explanationRows(answer: JsonObject): List<JsonObject> {
-        val candidates = answer["candidates"] as? JsonArray ?: JsonArray(emptyList())
-        val shared = answer - "candidates"
-        if (candidates.isEmpty()) return listOf(JsonObject(shared))
-        return candidates.map { candidate -> JsonObject(shared + candidate.asObject()) }
-    }
-
     private companion object {
         const val MAXIMUM_PRIORITY = 9
         const val EXPLAIN_USAGE =
@@ -192,6 +194,8 @@
 }
 
 internal class CountersCommand : InstanceCommand("counters") {
+    private val all by option("--all", help = "Also show counters that are 0 in the table; JSON always has them").flag()
+
     override fun help(context: Context): String =
         "Show the counters of the named instances and of every other instance that these name; a table shows the sums."
 
@@ -204,6 +208,7 @@
         }
         if (options.output == OutputFormat.JSON) return printAnswers(answers) { emptyList() }
         val sums = sums(answers.values.mapNotNull { answer -> answer.get()?.asObject() })
+            .filterValues { sum -> all || sum != 0.0 }
         printTable(listOf("COUNTER", "SUM"), sums.map { (name, sum) -> listOf(name, counterText(sum)) })
         endWith(answers.values.mapNotNull { answer -> answer.getError() })
     }
--- a/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/StatusCommand.kt
+++ b/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/StatusCommand.kt
@@ -22,7 +22,7 @@
         val fleet = OperatorClient(options.timeout).use { client -> FleetReader(client).read(options.instances) }
         when (options.output) {
             OutputFormat.JSON -> printJson(fleet.instances.map(::StatusResult))
-            OutputFormat.TABLE -> printTable(STATUS_COLUMNS, fleet.instances.map(::statusRow))
+            OutputFormat.TABLE -> printTable(STATUS_COLUMNS, fleet.instances.map { statusRow(it, fleet) })
         }
         endWith(fleet.errors)
     }
@@ -52,8 +52,8 @@
 
 private const val SHOWN_DIGEST_CHARACTERS = 12
 
-private fun statusRow(reading: InstanceReading): List<String> {
-    val status = reading.status ?: return unreadableRow(reading)
+private fun statusRow(reading: InstanceReading, fleet: FleetReading): List<String> {
+    val status = reading.status ?: return unreadableRow(reading, fleet.peerView(reading.operatorAddress))
     return listOf(
         reading.operatorAddress,
         status.instance.value,
@@ -68,9 +68,12 @@
     )
 }
 
-private fun unreadableRow(reading: InstanceReading): List<String> {
+/** Shows what [peerView] says of an instance that gave no status itself. */
+private fun unreadableRow(reading: InstanceReading, peerView: PeerStatus?): List<String> {
     val state = if (reading.error is InstanceError.Unreachable) "unreachable" else "unreadable"
-    val known = listOf(reading.operatorAddress, NO_VALUE, NO_VALUE, state)
+    val instance = peerView?.instance?.value ?: NO_VALUE
+    val domain = peerView?.failureDomain?.value ?: NO_VALUE
+    val known = listOf(reading.operatorAddress, instance, domain, state)
     return known + List(STATUS_COLUMNS.size - known.size) { NO_VALUE }
 }
 
--- a/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/WaitCommand.kt
+++ b/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/WaitCommand.kt
@@ -69,7 +69,7 @@
 
     private companion object {
         /** An instance that answers more slowly counts as lagging in that round and is asked again. */
-        val REQUEST_TIMEOUT = 2.seconds
+        val REQUEST_TIMEOUT = 3.seconds
         val POLL_INTERVAL = 250.milliseconds
     }
 }
--- a/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/DaemonSettingsReader.kt
+++ b/arbutusnotch-settings/src/main/kotlin/org/arbutusnotch/settings/DaemonSettingsReader.kt
@@ -71,7 +71,8 @@
     val failureDomain = text("failure_domain", TextForm.NAME)
     val incarnation = if (has("incarnation")) long("incarnation", DaemonRanges.INCARNATION) else null
     rejectOtherKeys()
-    val addresses = listOf("entry_address" to entry, "peer_address" to peer, "operator_address" to operator)
+    val peerKey = if (has("peer_listen_address")) "peer_listen_address" else "peer_address"
+    val addresses = listOf("entry_address" to entry, peerKey to peerListen, "operator_address" to operator)
     requireDifferent(addresses)
     return InstanceSettings(
         entryAddress = entry ?: return null,
--- a/arbutusnotch-settings/src/test/kotlin/org/arbutusnotch/settings/DaemonSettingsTest.kt
+++ b/arbutusnotch-settings/src/test/kotlin/org/arbutusnotch/settings/DaemonSettingsTest.kt
@@ -131,6 +131,17 @@
         }
     }
 
+    /** Guards against a forwarded peer address that the daemon tries to bind itself. */
+    @Test
+    fun `the bound peer address can differ from the one that peers use`() {
+        val text = VALID_DAEMON_SETTINGS.change("18081\"", "18081\"\npeer_listen_address = \"127.0.0.1:19081\"")
+        val instance = DaemonSettingsReader.read(text, FILE_NAME).get()?.instance
+        expectThat(instance?.peerAddress).isEqualTo(InstanceAddress("127.0.0.1:18081"))
+        expectThat(instance?.peerListenAddress).isEqualTo(InstanceAddress("127.0.0.1:19081"))
+        expectThat(daemonErrors(text.change("19081", "18080"))).single()
+            .get { key }.isEqualTo("instance.peer_listen_address")
+    }
+
     private companion object {
         const val OPTIONAL_TABLES = """
 [limits]
