--- a/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/load/CallerClient.kt
+++ b/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/load/CallerClient.kt
@@ -30,11 +30,13 @@
  * @property attempts tries of one request, including the first
  * @property patience longest wait for the retry time of a refusal; a caller gives up when it is later
  * @property attemptTimeout longest time for one try
+ * @property stations devices of each group of callers; each asks for its own list of entry points
  */
 public data class CallerBehaviour(
     public val attempts: Int = 3,
     public val patience: Duration = 500.milliseconds,
     public val attemptTimeout: Duration = 30.seconds,
+    public val stations: Int = 8,
 )
 
 @Serializable
@@ -63,8 +65,9 @@
         .build()
     private val directories = ConcurrentHashMap<String, EntryPointDirectory>()
 
-    /** Returns the entry points that [caller] uses now; null when no instance answers. */
-    public suspend fun entryPoints(caller: CallerProfile): EntryPoints? = directory(caller).entryPoints()
+    /** Returns the entry points that a [station] of [caller] uses now; null when no instance answers. */
+    public suspend fun entryPoints(caller: CallerProfile, station: Int = 0): EntryPoints? =
+        directory(caller, station).entryPoints()
 
     /** Sends a request and returns what its caller saw; [startNanos] is the monotonic time of its arrival. */
     public suspend fun send(scheduled: ScheduledRequest, startNanos: Long = System.nanoTime()): RequestRecord {
@@ -84,8 +87,10 @@
 
     override fun close(): Unit = factory.close()
 
-    private fun directory(caller: CallerProfile): EntryPointDirectory =
-        directories.computeIfAbsent(caller.name) { EntryPointDirectory(client, caller, bootstrap) }
+    private fun directory(caller: CallerProfile, station: Int): EntryPointDirectory {
+        val name = "${caller.name}-$station"
+        return directories.computeIfAbsent(name) { EntryPointDirectory(client, name, bootstrap) }
+    }
 
     /** Describes the end of one try. */
     private class Step(
@@ -99,7 +104,7 @@
     /** Runs the tries of one request. */
     private inner class RequestRun(private val scheduled: ScheduledRequest, private val startNanos: Long) {
         private val request = scheduled.request
-        private val directory = directory(request.caller)
+        private val directory = directory(request.caller, (scheduled.number % behaviour.stations).toInt())
         private val completion = request as? PlannedRequest.Completion
         private val prompt = completion?.prompt?.text().orEmpty()
         private var token: String? = null
--- a/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/load/EntryPointDirectory.kt
+++ b/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/load/EntryPointDirectory.kt
@@ -24,14 +24,14 @@
     public val issuerPrefix: String? = null,
 )
 
-/** Keeps the entry points of one group of callers; [bootstrap] holds the addresses that callers know beforehand. */
+/** Keeps the entry points of one [station]; [bootstrap] holds the addresses that callers know beforehand. */
 internal class EntryPointDirectory(
     private val client: WebClient,
-    private val caller: CallerProfile,
+    private val station: String,
     private val bootstrap: List<String>,
 ) {
     private val mutex = Mutex()
-    private val next = AtomicInteger(caller.name.hashCode() and Int.MAX_VALUE)
+    private val next = AtomicInteger(station.hashCode() and Int.MAX_VALUE)
 
     @Volatile
     private var current: EntryPoints? = null
@@ -55,8 +55,10 @@
     }
 
     private suspend fun ask(address: String): EntryPoints? = withTimeoutOrNull(ASK_TIMEOUT) {
+        // Lists differ by caller. All stations have the same address on loopback, so each gives a name of its own;
+        // the call needs no valid key.
         val headers = RequestHeaders.builder(HttpMethod.GET, "h1c://$address/v1/entry-points")
-            .add("authorization", "Bearer ${caller.key}")
+            .add("authorization", "Bearer $station")
             .build()
         val answer = runCatching { client.execute(headers).aggregate().await() }.getOrNull()
         answer?.takeIf { it.status() == HttpStatus.OK }
--- a/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/load/PlannedRequest.kt
+++ b/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/load/PlannedRequest.kt
@@ -37,7 +37,14 @@
         const val LONGEST_WORD = 32
         const val NUMBERS = 1_000
         val WORDS = listOf(
-            " ladder ", " anchor ", " bell ", " harness ", " stair ", " crate ", " pallet ", " shelf ", " bolt ", " rope ",
+            " ladder ",
+            " anchor ",
+            " bell ",
+            " harness ",
+            " stair ",
+            " crate ",
+            " pallet ",
+            " shelf ",
         )
     }
 }
