--- a/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/launch/DeploymentDescription.kt
+++ b/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/launch/DeploymentDescription.kt
@@ -49,6 +49,7 @@
  * @property policy routing policy of every instance
  * @property limits further keys of `[limits]` in the settings of every instance, such as `drain_seconds`
  * @property listLagMillis time until a changed instance list is published
+ * @property daemonFlags Java flags of the instances
  * @property relayPeers whether connections between instances go through relays that can be cut; the daemon must then
  * support `peer_listen_address`
  */
@@ -61,6 +62,7 @@
     public val policy: String = "chosen",
     public val limits: Map<String, Int> = emptyMap(),
     public val listLagMillis: Long = 2_000,
+    public val daemonFlags: List<String> = listOf("-XX:+UseSerialGC", "-Xmx192m"),
     public val relayPeers: Boolean = false,
 ) {
     public companion object {
--- a/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/launch/LaunchCommands.kt
+++ b/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/launch/LaunchCommands.kt
@@ -40,7 +40,7 @@
     ): List<String> {
         val settings = directory.resolve("${instance.id}.toml")
         settings.writeText(settings(instance, addresses, all.filter { it != addresses }))
-        return listOf(paths.java) + DAEMON_FLAGS + COMMON_FLAGS +
+        return listOf(paths.java) + description.daemonFlags + COMMON_FLAGS +
             listOf("-cp", paths.daemon, "org.arbutusnotch.daemon.MainKt", "--settings", settings.toString())
     }
 
@@ -71,7 +71,6 @@
 
     private companion object {
         val EMULATOR_FLAGS = listOf("-XX:+UseSerialGC", "-Xmx128m", "-XX:TieredStopAtLevel=1")
-        val DAEMON_FLAGS = listOf("-XX:+UseSerialGC", "-Xmx192m")
 
         /** Some 40 processes share one machine: pools sized by its processors would have hundreds of threads. */
         val COMMON_FLAGS = listOf(
--- a/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/quickstart/Quickstart.kt
+++ b/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/quickstart/Quickstart.kt
@@ -222,7 +222,11 @@
             paths: LaunchPaths,
         ): Trial {
             val file = project.resolve("examples/$name.toml").readText()
-            return Trial(Deployment(DeploymentDescription.of(file, INSTANCES), paths), mix, rate, targets)
+            val description = DeploymentDescription.of(file, INSTANCES).let {
+                // The second compiler takes more processor time in the first seconds than it saves in a short run.
+                it.copy(daemonFlags = it.daemonFlags + "-XX:TieredStopAtLevel=1")
+            }
+            return Trial(Deployment(description, paths), mix, rate, targets)
         }
     }
 }
