Check permit deadlines, pauses and token lifetimes in the fuzz test

Cause: with the lifetime limit, the check before the write or the single outcome of an attempt switched off in a scratch copy, 20,000 sequences of the at-most-once test found nothing: its oracle did not look at them, and ended attempts received no further events.

Ruled out: counting a pause whose wall clock was stepped meanwhile; a check that compares wall clock times cannot see it.

Change: the oracle fails when a token with too long a lifetime is permitted, when a holder writes after its permit's deadline or after missed ticks, and ended attempts are failed and answered again.

Conclusion: the test covers the checks that it did not cover before.

--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/permit/AtMostOnceModel.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/permit/AtMostOnceModel.kt
@@ -72,7 +72,7 @@
         val receiver = instances.first { it.address == packet.receiver }
         when (val message = packet.message) {
             is PermitRequest -> {
-                val reply = receiver.table.request(message, receiver.now(time))
+                val reply = receiver.request(message, time)
                 val writes = oracle.writesOf(message.key)
                 send(receiver, message.holder.address, reply, message.attempt, writes)
             }
@@ -93,24 +93,25 @@
 
     /** Lets an attempt that waits for another holder, or for a reply that may be lost, ask again. */
     fun askAgain(choice: Choice) {
-        val (entry, attempt) = openAttempt(choice) ?: return
+        val (entry, attempt) = attempt(choice) { !it.ended } ?: return
         sendRequest(entry, attempt)
     }
 
     fun giveUpOnIssuer(choice: Choice) {
-        val (entry, attempt) = openAttempt(choice) ?: return
+        val (entry, attempt) = anyAttempt(choice) ?: return
         apply(entry, attempt, attempt.issuerUnreachable())
     }
 
     /** Lets a holder write to a backend server; the connection may break before the call arrives there. */
     fun write(choice: Choice) {
-        val (entry, attempt) = openAttempt(choice) { it.holdsPermit } ?: return
+        val (entry, attempt) = attempt(choice) { it.holdsPermit } ?: return
         val step = attempt.beginWrite(entry.now(time), entry.lastTick, TICK_GAP_LIMIT)
         if (step != null) {
             apply(entry, attempt, step)
             return
         }
-        oracle.wrote(attempt.request)
+        check(!entry.missedTicks()) { "attempt ${attempt.request.attempt} wrote after a pause" }
+        oracle.wrote(attempt.request, entry.now(time))
         backendCalls += BackendCall(entry.address, attempt.request)
     }
 
@@ -129,20 +130,20 @@
         apply(entry, attempt, attempt.answered(checkNotNull(call.answer)))
     }
 
-    /** Lets an entry end an attempt by itself, before or after its write. */
+    /** Lets an entry end an attempt by itself, before or after its write, or once more after its end. */
     fun fail(choice: Choice) {
-        val (entry, attempt) = openAttempt(choice) ?: return
+        val (entry, attempt) = anyAttempt(choice) ?: return
         apply(entry, attempt, attempt.fail(choice.of(OWN_FAILURES)))
     }
 
     fun passTime(choice: Choice) {
-        time += choice.of(STEPS)
-        instances.filterNot { it.paused }.forEach { it.tick(time) }
+        val step = choice.of(STEPS)
+        time += step
+        instances.forEach { it.passTime(time, step) }
     }
 
     fun moveClock(choice: Choice) {
-        val instance = choice.of(instances)
-        instance.clockOffset = choice.of(CLOCK_OFFSETS)
+        choice.of(instances).moveClock(choice.of(CLOCK_OFFSETS))
     }
 
     fun pauseOrResume(choice: Choice) {
@@ -175,14 +176,16 @@
         oracle.checkRefusedAttempts()
     }
 
-    private fun openAttempt(
-        choice: Choice,
-        condition: (PermitAttempt) -> Boolean = { true },
-    ): Pair<ModelInstance, PermitAttempt>? {
-        val open = instances
+    private fun anyAttempt(choice: Choice): Pair<ModelInstance, PermitAttempt>? {
+        val endedToo = choice.chance(oneIn = 4)
+        return attempt(choice) { endedToo || !it.ended }
+    }
+
+    private fun attempt(choice: Choice, condition: (PermitAttempt) -> Boolean): Pair<ModelInstance, PermitAttempt>? {
+        val matching = instances
             .filterNot { it.paused }
-            .flatMap { entry -> entry.attempts.values.filter { !it.ended && condition(it) }.map { entry to it } }
-        return if (open.isEmpty()) null else choice.of(open)
+            .flatMap { entry -> entry.attempts.values.filter(condition).map { entry to it } }
+        return if (matching.isEmpty()) null else choice.of(matching)
     }
 
     private fun deliverable(): List<Packet> = network.filter { packet ->
@@ -216,7 +219,9 @@
                 oracle.told(attempt.request, decision.outcome, writes)
             }
 
-            is PermitDecision.Run, is PermitDecision.AwaitRunning, null -> Unit
+            is PermitDecision.Run -> oracle.permitted(attempt.request, decision.deadline)
+
+            is PermitDecision.AwaitRunning, null -> Unit
         }
     }
 
@@ -231,10 +236,11 @@
         val CLOCK_OFFSETS = listOf(0L, 0L, 0L, 700L, -300L, 300L, -15_000L, 12_000L)
         val ANSWER_SIZES = listOf(4, 4, 100)
         val OWN_FAILURES = listOf(RefusalReason.NO_BACKEND_SERVER, RefusalReason.BACKEND_FAILED)
-        val TICK_GAP_LIMIT = 200.milliseconds
     }
 }
 
+private val TICK_GAP_LIMIT = 200.milliseconds
+
 private class Packet(
     val sender: InstanceAddress,
     val receiver: InstanceAddress,
@@ -251,26 +257,63 @@
 private class ModelInstance(val address: InstanceAddress, incarnation: Long) {
     var id = InstanceId(address, Incarnation(incarnation))
     var table = newTable()
-    var clockOffset = 0L
+    private var clockOffset = 0L
+    private var latest = Timestamp(0)
     var paused = false
     var lastTick = Timestamp(0)
+
+    private var missedMillis = 0L
+    private var clockMoved = false
     val attempts = LinkedHashMap<AttemptId, PermitAttempt>()
 
     fun now(time: Long): Timestamp = Timestamp(time + clockOffset)
 
-    fun tick(time: Long) {
+    /** Whether the process has missed ticks and its clock shows it. */
+    fun missedTicks(): Boolean = missedMillis > TICK_GAP_LIMIT.inWholeMilliseconds && !clockMoved
+
+    fun moveClock(offset: Long) {
+        clockOffset = offset
+        clockMoved = true
+    }
+
+    /** Ticks if the process runs. A step of time stands for many ticks, so a running process has missed none. */
+    fun passTime(time: Long, step: Long) {
+        missedMillis += step
+        if (paused) return
+        missedMillis = 0
+        clockMoved = false
         lastTick = now(time)
         table.tick(lastTick)
+        latest = maxOf(latest, lastTick)
+    }
+
+    fun request(request: PermitRequest, time: Long): PermitReply {
+        val reply = table.request(request, now(time))
+        latest = maxOf(latest, now(time))
+        val expiry = IdempotencyToken.parse(request.key.token).get()?.prefix?.expiry
+        if (reply is PermitReply.Granted && expiry != null) {
+            check(expiry <= latest + MAXIMUM_LIFETIME) { "the issuer permitted a token whose expiry is too far away" }
+        }
+        return reply
     }
 
     fun restart(incarnation: Long) {
         id = InstanceId(address, Incarnation(incarnation))
         table = newTable()
+        latest = Timestamp(0)
         attempts.clear()
         paused = false
+        missedMillis = 0
+        lastTick = Timestamp(0)
     }
 
-    private fun newTable() = PermitTable(id, capacity = 2, answerByteLimit = 10, maximumTokenLifetime = 30.seconds)
+    private fun newTable() = PermitTable(id, CAPACITY, ANSWER_BYTES, MAXIMUM_LIFETIME)
+
+    private companion object {
+        const val CAPACITY = 2
+        const val ANSWER_BYTES = 10
+        val MAXIMUM_LIFETIME = 30.seconds
+    }
 }
 
 /** Records every write, run and outcome, and fails when they contradict each other. */
@@ -279,6 +322,7 @@
     private val runs = HashMap<TokenKey, PermitRequest>()
     private val answers = HashMap<TokenKey, RecordedAnswer>()
     private val outcomes = HashMap<AttemptId, String>()
+    private val deadlines = HashMap<AttemptId, Timestamp>()
     private val refused = HashSet<AttemptId>()
 
     /** What the sequence reached, for the coverage checks. */
@@ -287,7 +331,13 @@
 
     fun writesOf(key: TokenKey): Int = writes[key] ?: 0
 
-    fun wrote(request: PermitRequest) {
+    fun permitted(request: PermitRequest, deadline: Timestamp) {
+        deadlines[request.attempt] = deadline
+    }
+
+    fun wrote(request: PermitRequest, now: Timestamp) {
+        val deadline = checkNotNull(deadlines[request.attempt]) { "attempt ${request.attempt} wrote without a permit" }
+        check(now < deadline) { "attempt ${request.attempt} wrote after the deadline of its permit" }
         check(request.attempt !in refused) { "attempt ${request.attempt} wrote after it told not_run" }
         writes.merge(request.key, 1, Int::plus)
     }
