Add a program that measures what control costs an instance

Cause: docs/CAPACITY.md has to be worked out from measured slopes. Ruled out: reading them off whole processes, where the JVM and the data path hide the cost of single tables. Change: bin/capacity measures live bytes, processor time and message bytes at several sizes and fits lines.

--- /dev/null
+++ b/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/capacity/CapacityProbe.kt
@@ -0,0 +1,301 @@
+/*
+ * Measures what control costs an instance: live bytes and processor time of the tables, and bytes of the messages, at
+ * several sizes. docs/CAPACITY.md is worked out from these figures.
+ */
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package org.arbutusnotch.testing.capacity
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.split
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.getOrElse
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+import org.arbutusnotch.core.configuration.ConfigurationFault
+import org.arbutusnotch.core.configuration.DeploymentConfiguration
+import org.arbutusnotch.core.configuration.RevisionTable
+import org.arbutusnotch.core.configuration.marks
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.ContentDigest
+import org.arbutusnotch.core.id.FailureDomainId
+import org.arbutusnotch.core.id.ModelId
+import org.arbutusnotch.core.id.RevisionNumber
+import org.arbutusnotch.core.membership.SlotOwnership
+import org.arbutusnotch.core.message.AttemptProgress
+import org.arbutusnotch.core.message.Gossip
+import org.arbutusnotch.core.message.PeerMessage
+import org.arbutusnotch.core.message.PermitClose
+import org.arbutusnotch.core.message.PermitReply
+import org.arbutusnotch.core.message.PermitResult
+import org.arbutusnotch.core.message.RecordedAnswer
+import org.arbutusnotch.core.message.ReservationKind
+import org.arbutusnotch.core.message.StreamReport
+import org.arbutusnotch.core.reservation.ReservationTable
+import org.arbutusnotch.core.routing.CompletionRequest
+import org.arbutusnotch.core.routing.PrefixTable
+import org.arbutusnotch.core.routing.Router
+import org.arbutusnotch.core.routing.RoutingPolicy
+import org.arbutusnotch.core.straggler.ServerTable
+import org.arbutusnotch.settings.DeploymentConfigurationReader
+import java.util.Locale
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Measures and prints every figure. */
+public fun main(arguments: Array<String>): Unit = CapacityProbe().main(arguments)
+
+private class CapacityProbe : CliktCommand(name = "capacity") {
+    private val instances by option("--instances", help = "Numbers of instances, separated by commas.")
+        .int().split(",").default(listOf(20, 100, 330, 660))
+    private val servers by option("--servers", help = "Numbers of backend servers.")
+        .int().split(",").default(listOf(60, 200, 600, 1_200))
+    private val records by option("--records", help = "Numbers of idempotency tokens on record.")
+        .int().split(",").default(listOf(1_000, 5_000, 20_000))
+    private val reservations by option("--reservations", help = "Numbers of reservations at an owner.")
+        .int().split(",").default(listOf(20, 40, 80, 160))
+    private val workspaces by option("--workspaces", help = "Numbers of workspaces in the operators' file.")
+        .int().split(",").default(listOf(100, 500, 1_900))
+
+    override fun help(context: Context): String =
+        "Measures live bytes, processor time and message bytes of the control tables at several sizes."
+
+    override fun run() {
+        val figures = instances.flatMap(::membership) + servers.flatMap(::placement) + records.flatMap(::permits) +
+            reservations.flatMap(::ownership) + workspaces.flatMap(::configuration)
+        echo("measure | size | value | unit")
+        figures.forEach { echo("${it.measure} | ${it.size} | ${round(it.value)} | ${it.unit}") }
+        echo("slope of | at zero | per unit of size | unit")
+        figures.groupBy { it.measure }.values.filter { it.size > 1 }.map(Slope::of).forEach { slope ->
+            echo("${slope.measure} | ${round(slope.atZero)} | ${round(slope.perUnit)} | ${slope.unit}")
+        }
+    }
+
+    private fun membership(size: Int): List<CapacityFigure> {
+        val table = capacityView(size)
+        val revisions = RevisionTable { Err(ConfigurationFault(emptyList())) }
+        val message = Gossip(sender = table.self, rows = table.rowsToSend())
+        val bytes = encode(message)
+        var heartbeat = 1L
+        val merge = CapacityMeter.microsPerRun(GOSSIP_RUNS) {
+            heartbeat += 1
+            val rows = (1..message.rows.size).map { capacityRow(1 + (it * ROW_STEP) % (size - 1), heartbeat) }
+            table.merge(rows, capacityStart)
+            rows.forEach { row -> revisions.merge(row.instance.address, row.marks) }
+        }
+        return listOf(
+            CapacityFigure(
+                "view of instances, live",
+                size,
+                CapacityMeter.liveBytes(COPIES) {
+                    capacityView(size)
+                },
+                BYTES,
+            ),
+            CapacityFigure("gossip message", size, bytes.size.toDouble(), BYTES),
+            CapacityFigure(
+                "gossip build and encode",
+                size,
+                CapacityMeter.microsPerRun(GOSSIP_RUNS) {
+                    table.beat()
+                    encode(Gossip(sender = table.self, rows = table.rowsToSend()))
+                },
+                MICROS,
+            ),
+            CapacityFigure("gossip decode", size, CapacityMeter.microsPerRun(GOSSIP_RUNS) { decode(bytes) }, MICROS),
+            CapacityFigure("gossip merge", size, merge, MICROS),
+            CapacityFigure(
+                "view tick",
+                size,
+                CapacityMeter.microsPerRun(TICK_RUNS) {
+                    table.tick(capacityStart)
+                },
+                MICROS,
+            ),
+            CapacityFigure("slot owner of one server", size, ownerMicros(table.live().map { it.instance }), MICROS),
+        )
+    }
+
+    private fun ownerMicros(live: List<org.arbutusnotch.core.id.InstanceId>): Double =
+        CapacityMeter.microsPerRun(OWNER_RUNS) { SlotOwnership.ownerOf(BackendServerId("10.200.0.$it:9000"), live) }
+
+    private fun placement(size: Int): List<CapacityFigure> {
+        val configuration = capacityConfiguration(size)
+        val table = ServerTable().apply { configure(configuration) }
+        val prefixes = PrefixTable()
+        val router = Router(RoutingPolicy.Chosen, FailureDomainId("domain-0"), Random(1), table, prefixes)
+        router.configure(configuration)
+        configuration.servers.forEach { table.observeTokens(it.address, 1, 20.milliseconds, capacityStart) }
+        val request = CompletionRequest(
+            model = ModelId("model-1"),
+            prefixDigests = (1..PROMPT_PIECES).map { ContentDigest("prefix-$it") },
+            promptTokens = PROMPT_TOKENS,
+            maxTokens = OUTPUT_TOKENS,
+            priority = 5,
+            firstTokenDeadline = capacityStart + 320.milliseconds,
+        )
+        return listOf(
+            CapacityFigure(
+                "table of servers, live",
+                size,
+                CapacityMeter.liveBytes(COPIES) {
+                    ServerTable().apply { configure(configuration) }
+                },
+                BYTES,
+            ),
+            CapacityFigure(
+                "server tick",
+                size,
+                CapacityMeter.microsPerRun(TICK_RUNS) {
+                    table.tick(capacityStart)
+                },
+                MICROS,
+            ),
+            CapacityFigure(
+                "placement of a completion",
+                size,
+                CapacityMeter.microsPerRun(PLACEMENT_RUNS) {
+                    router.placeCompletion(request, capacityStart)
+                },
+                MICROS,
+            ),
+        )
+    }
+
+    private fun permits(size: Int): List<CapacityFigure> {
+        val requests = (0 until size).map(::capacityPermitRequest)
+        val answer = RecordedAnswer(HTTP_OK, "application/json", ByteArray(RECORDED_ANSWER_BYTES))
+        val fill = {
+            capacityPermits().apply {
+                requests.forEach { request ->
+                    val granted = request(request, capacityStart) as PermitReply.Granted
+                    val result = PermitResult.Answered(
+                        RecordedAnswer(HTTP_OK, "application/json", answer.body.copyOf()),
+                    )
+                    close(PermitClose(request.key, request.attempt, granted.permit, result), capacityStart)
+                }
+            }
+        }
+        val table = fill()
+        val ask = CapacityMeter.microsPerRun(PERMIT_RUNS) { table.request(requests[it % size], capacityStart) }
+        return listOf(
+            CapacityFigure("permit records, live", size, CapacityMeter.liveBytes(1) { fill() }, BYTES),
+            CapacityFigure("permit request", size, ask, MICROS),
+            CapacityFigure("permit request message", size, encode(requests.first()).size.toDouble(), BYTES),
+        )
+    }
+
+    private fun ownership(size: Int): List<CapacityFigure> {
+        val configuration = capacityConfiguration(size / SLOTS)
+        val table = ReservationTable()
+        table.configure(configuration, capacityStart)
+        val addresses = configuration.servers.filter { "decode" in it.pool.value }.map { it.address }
+        val held = (0 until size).map { capacityReserveRequest(addresses[it % addresses.size.coerceAtLeast(1)], it) }
+        held.forEach { table.reserve(it, capacityStart) }
+        val progress = AttemptProgress(
+            attempt = held.first().attempt,
+            kind = ReservationKind.DECODE,
+            tokens = 10,
+            elapsedMicros = 200_000,
+            priority = 5,
+            work = OUTPUT_TOKENS,
+        )
+        val report = StreamReport(held.first().server, held.first().holder, listOf(progress))
+        return listOf(
+            CapacityFigure(
+                "reserve and release",
+                size,
+                CapacityMeter.microsPerRun(RESERVE_RUNS) {
+                    val request = capacityReserveRequest(held.first().server, size + it)
+                    table.reserve(request, capacityStart)
+                    table.release(request.server, request.attempt, capacityStart)
+                },
+                MICROS,
+            ),
+            CapacityFigure(
+                "stream report",
+                size,
+                CapacityMeter.microsPerRun(RESERVE_RUNS) {
+                    table.report(report, capacityStart)
+                },
+                MICROS,
+            ),
+            CapacityFigure("reserve message", size, encode(held.first()).size.toDouble(), BYTES),
+            CapacityFigure("stream report message", size, encode(report).size.toDouble(), BYTES),
+            CapacityFigure(
+                "reservation tick",
+                size,
+                CapacityMeter.microsPerRun(TICK_RUNS) {
+                    table.tick(capacityStart)
+                },
+                MICROS,
+            ),
+        )
+    }
+
+    private fun configuration(size: Int): List<CapacityFigure> {
+        val bytes = operatorsFile(size)
+        val parse = CapacityMeter.microsPerRun(PARSE_RUNS) { read(bytes) }
+        val live = CapacityMeter.liveBytes(COPIES) {
+            checkNotNull(DeploymentConfigurationReader.read(bytes, "capacity"))
+        }
+        return listOf(
+            CapacityFigure("operators' file", size, bytes.size.toDouble(), BYTES),
+            CapacityFigure("operators' file, parse", size, parse, MICROS),
+            CapacityFigure("operators' file, live", size, live, BYTES),
+        )
+    }
+
+    private fun read(bytes: ByteArray): DeploymentConfiguration = DeploymentConfigurationReader.read(bytes, "capacity")
+        .getOrElse { errors -> error("the generated operators' file is not valid: ${errors.first()}") }
+
+    /** Returns a file with [workspaces] workspaces of one caller each, in the format of the operators' file. */
+    private fun operatorsFile(workspaces: Int): ByteArray = buildString {
+        appendLine("revision = 1\ndeployment = \"capacity\"")
+        appendLine("[[clients]]\nname = \"client\"\nconcurrent_requests = 4000")
+        repeat(workspaces) { number ->
+            appendLine("[[workspaces]]\nname = \"workspace-$number\"\nclient = \"client\"")
+            val key = number.toString().padStart(KEY_DIGITS, '0')
+            appendLine("[[callers]]\nname = \"caller-$number\"\nworkspace = \"workspace-$number\"")
+            appendLine("priority = 5\nkey_sha256 = \"$key\"")
+        }
+        appendLine("[[pools]]\nname = \"orders\"\nkind = \"service\"")
+        appendLine("[[servers]]\naddress = \"127.0.0.1:9000\"\npool = \"orders\"\nfailure_domain = \"domain-1\"\nslots = 20")
+        appendLine("[[services]]\nname = \"orders\"\npool = \"orders\"")
+        appendLine("[[services.operations]]\nname = \"book\"\nidempotent = false\ntimeout_millis = 5000")
+    }.encodeToByteArray()
+
+    private fun encode(message: PeerMessage): ByteArray = Cbor.encodeToByteArray(PeerMessage.serializer(), message)
+
+    private fun decode(bytes: ByteArray): PeerMessage = Cbor.decodeFromByteArray(PeerMessage.serializer(), bytes)
+
+    private fun round(value: Double): String = String.format(Locale.ROOT, "%.2f", value)
+
+    private companion object {
+        const val BYTES = "bytes"
+        const val MICROS = "microseconds"
+        const val COPIES = 10
+        const val GOSSIP_RUNS = 300
+        const val TICK_RUNS = 2_000
+        const val OWNER_RUNS = 200
+        const val PLACEMENT_RUNS = 500
+        const val PERMIT_RUNS = 20_000
+        const val RESERVE_RUNS = 5_000
+        const val PARSE_RUNS = 5
+        const val SLOTS = 10
+        const val PROMPT_PIECES = 8
+        const val PROMPT_TOKENS = 8_192
+        const val OUTPUT_TOKENS = 300
+        const val RECORDED_ANSWER_BYTES = 512
+        const val KEY_DIGITS = 64
+        const val HTTP_OK = 200
+
+        /** Spreads the merged rows over the whole view. */
+        const val ROW_STEP = 7
+    }
+}
