Let a refusal end an earlier queued request of the same attempt

Cause: a repeated request of a queued attempt that an owner refused as excluded left the first request in the queue; its later grant would have held a slot for 2 s that nobody uses. Properties with exclusion and load correction found it. An owner that excludes a server also refused requests whose entry knew no other server. A speed sample of minutes ago weighed as much as a new one, and without samples predictions fell back to the built-in speed.

Ruled out: clearing the queue entry only in the excluded case, because every refusal has to be final for its attempt.

Change: reserve takes the queued request out first. ReserveRequest.lastResort (false by default) and the candidates' lastResort tell the owner that every usable server is excluded. Estimates start again after 5 s without samples; a pool without recent samples is predicted by its last median. The reservation properties now also exclude the server and correct its count.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/PeerMessage.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/PeerMessage.kt
@@ -213,6 +213,7 @@
  * @property work uncached prompt tokens for [ReservationKind.PREFILL], expected output tokens for
  * [ReservationKind.DECODE], 1 for [ReservationKind.SERVICE]
  * @property startDeadline latest time at which the reservation must start to be of use
+ * @property lastResort whether the entry knows no other server; an owner then grants although it excludes the server
  */
 @Serializable
 @SerialName("reserve")
@@ -225,6 +226,7 @@
     public val work: Int,
     public val startDeadline: Timestamp,
     public val revision: RevisionNumber,
+    public val lastResort: Boolean = false,
 ) : PeerMessage
 
 /** Answers [ReserveRequest]. */
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/reservation/ReservationTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/reservation/ReservationTable.kt
@@ -94,15 +94,21 @@
         val row = servers[server] ?: return emptyList()
         val before = row.excludedSince
         row.setExcluded(excluded, now)
-        return if (excluded && before == null) refuseQueue(row, ReservationRefusal.EXCLUDED, now) else decide(row, now)
+        if (!excluded || before != null) return decide(row, now)
+        return refuseQueue(row, ReservationRefusal.EXCLUDED, now) { !it.lastResort }
     }
 
-    /** Decides a request at once or queues it; a repeated request for a held reservation renews it. */
+    /**
+     * Decides a request at once or queues it. A repeated request renews a held reservation and replaces a queued one,
+     * so that a refusal is always final for its attempt.
+     */
     public fun reserve(request: ReserveRequest, now: Timestamp): ReservationDecision {
         val row = servers[request.server]?.takeIf { it.kind == request.kind }
             ?: return request.refused(ReservationRefusal.UNKNOWN_SERVER, now)
         if (!owns(request.server)) return request.refused(ReservationRefusal.NOT_OWNER, now)
         expire(row, now)
+        val queued = row.queue.firstOrNull { it.request.attempt == request.attempt }
+        row.queue.remove(queued)
         if (isTerminated(request.holder) || ended.contains(request.server, request.attempt)) {
             return request.refused(ReservationRefusal.DEADLINE_TOO_CLOSE, now, row)
         }
@@ -111,15 +117,13 @@
         return when {
             held != null -> granted(row, held.renewed(now), now)
             row.leaving -> request.refused(ReservationRefusal.LEAVING, now, row)
-            row.isProbeLimitReached() -> request.refused(ReservationRefusal.EXCLUDED, now, row)
-            else -> grantOrQueue(row, request, now)
+            row.isExcludedFor(request) -> request.refused(ReservationRefusal.EXCLUDED, now, row)
+            else -> grantOrQueue(row, QueuedReservation(request, queued?.sequence ?: nextSequence++), now)
         }
     }
 
-    private fun grantOrQueue(row: ReservedServer, request: ReserveRequest, now: Timestamp): ReservationDecision {
-        val existing = row.queue.firstOrNull { it.request.attempt == request.attempt }
-        row.queue.remove(existing)
-        val candidate = QueuedReservation(request, existing?.sequence ?: nextSequence++)
+    private fun grantOrQueue(row: ReservedServer, candidate: QueuedReservation, now: Timestamp): ReservationDecision {
+        val request = candidate.request
         val ahead = row.queue.filter { queueOrder.compare(it, candidate) < 0 }
         if (request.startDeadline < now) return request.refused(ReservationRefusal.DEADLINE_TOO_CLOSE, now, row)
         if (ahead.isEmpty() && row.canStart(request, now)) return granted(row, request.toReservation(now), now)
@@ -288,10 +292,11 @@
         row: ReservedServer,
         refusal: ReservationRefusal,
         now: Timestamp,
+        condition: (ReserveRequest) -> Boolean = { true },
     ): List<ReservationDecision> {
-        val decisions = row.queue.map { it.request.refused(refusal, now, row) }
-        row.queue.clear()
-        return decisions
+        val refused = row.queue.filter { condition(it.request) }
+        row.queue.removeAll(refused)
+        return refused.map { it.request.refused(refusal, now, row) }
     }
 
     private fun granted(row: ReservedServer, reservation: Reservation, now: Timestamp): ReservationDecision {
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/reservation/ReservedServer.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/reservation/ReservedServer.kt
@@ -62,14 +62,14 @@
         if (excluded && excludedSince == null) excludedSince = now
     }
 
-    /** Tells whether the server is excluded and already runs as many probes as it may. */
-    fun isProbeLimitReached(): Boolean {
+    /** Tells whether the server is excluded, runs as many probes as it may and is not the last resort of [request]. */
+    fun isExcludedFor(request: ReserveRequest): Boolean {
         val since = excludedSince ?: return false
-        return held.values.count { it.grantedAt >= since } >= PROBE_LIMIT
+        return !request.lastResort && held.values.count { it.grantedAt >= since } >= PROBE_LIMIT
     }
 
     fun canStart(request: ReserveRequest, now: Timestamp): Boolean = when {
-        leaving || isProbeLimitReached() -> false
+        leaving || isExcludedFor(request) -> false
         kind == ReservationKind.PREFILL -> canStartPrefill(request, now)
         else -> freeSlots(now) > slotsKeptFrom(request.priority, now)
     }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/routing/Placement.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/routing/Placement.kt
@@ -48,6 +48,8 @@
  * @property freeSlots free slots as this instance knows them
  * @property predictedWait time until a slot is free
  * @property perToken expected time between tokens
+ * @property probe whether the server is excluded as slow
+ * @property lastResort whether every usable server is excluded; its owner has to be told
  */
 public data class DecodeCandidate(
     public val server: BackendServerId,
@@ -56,6 +58,7 @@
     public val predictedWait: Duration,
     public val perToken: Duration,
     public val probe: Boolean,
+    public val lastResort: Boolean,
 )
 
 /**
@@ -65,6 +68,8 @@
  * @property predictedWait time until the work ahead is finished
  * @property predictedPrefill time for the prefill itself
  * @property predictedFirstToken time to first token with the first decode candidate, from the placement on
+ * @property probe whether the server is excluded as slow
+ * @property lastResort whether every usable server is excluded; its owner has to be told
  */
 public data class PrefillCandidate(
     public val server: BackendServerId,
@@ -74,9 +79,18 @@
     public val predictedPrefill: Duration,
     public val predictedFirstToken: Duration,
     public val probe: Boolean,
+    public val lastResort: Boolean,
 )
 
-/** Describes a replica of a plain service that can take the call. */
+/**
+ * Describes a replica of a plain service that can take the call.
+ *
+ * @property freeSlots free slots as this instance knows them
+ * @property predictedWait time until a slot is free
+ * @property predictedCall time of the call itself
+ * @property probe whether the server is excluded as slow
+ * @property lastResort whether every usable server is excluded; its owner has to be told
+ */
 public data class ServiceCandidate(
     public val server: BackendServerId,
     public val failureDomain: FailureDomainId,
@@ -84,6 +98,7 @@
     public val predictedWait: Duration,
     public val predictedCall: Duration,
     public val probe: Boolean,
+    public val lastResort: Boolean,
 )
 
 /** Answers a [CompletionRequest]. */
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/routing/Router.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/routing/Router.kt
@@ -63,9 +63,9 @@
         if (prefill.isEmpty()) return refused(RefusalReason.NO_BACKEND_SERVER, untilUsable(prefillViews, now), now)
         costs.observeRequest(model.decodePool, request.maxTokens)
         val decodeOrder = withProbe(decodeOrder(decode), decodeViews, request, now)
-        val candidates = decodeOrder.map { decodeCandidate(it) }
+        val candidates = decodeOrder.map { decodeCandidate(it, decode.isSlowOnly()) }
         val prefillOrder = withProbe(prefillOrder(prefill, request), prefillViews, request, now)
-        val prefills = prefillOrder.map { prefillCandidate(it, request, candidates.first()) }
+        val prefills = prefillOrder.map { prefillCandidate(it, request, candidates.first(), prefill.isSlowOnly()) }
         return admit(request, candidates, prefills, now)
     }
 
@@ -150,19 +150,23 @@
         return listOf(probe) + ordered
     }
 
-    private fun decodeCandidate(view: ServerView) = DecodeCandidate(
+    private fun List<ServerView>.isSlowOnly(): Boolean = all { it.excluded }
+
+    private fun decodeCandidate(view: ServerView, lastResort: Boolean) = DecodeCandidate(
         server = view.server,
         failureDomain = view.definition.failureDomain,
         freeSlots = view.freeSlots,
         predictedWait = costs.slotWait(view),
         perToken = view.perUnit,
         probe = view.excluded,
+        lastResort = lastResort,
     )
 
     private fun prefillCandidate(
         view: ServerView,
         request: CompletionRequest,
         decode: DecodeCandidate,
+        lastResort: Boolean,
     ): PrefillCandidate {
         val uncached = uncachedTokens(view, request)
         val wait = costs.prefillWait(view)
@@ -176,6 +180,7 @@
             predictedPrefill = prefill,
             predictedFirstToken = decode.predictedWait + wait + prefill + handover,
             probe = view.excluded,
+            lastResort = lastResort,
         )
     }
 
@@ -187,7 +192,7 @@
         val usable = order.usable(views, request.excludedServers)
         if (usable.isEmpty()) return refusedCall(RefusalReason.NO_BACKEND_SERVER, untilUsable(views, now), now)
         val ordered = withProbe(decodeOrder(usable), views, request.priority, request.excludedServers, now)
-        val candidates = ordered.map { serviceCandidate(it) }
+        val candidates = ordered.map { serviceCandidate(it, usable.isSlowOnly()) }
         val excess = candidates.minOf { it.predictedWait } - (request.startDeadline - now)
         if (policy == RoutingPolicy.Chosen && excess.isPositive()) {
             return refusedCall(RefusalReason.CAPACITY, excess, now)
@@ -195,13 +200,14 @@
         return ServicePlacement.Placed(candidates)
     }
 
-    private fun serviceCandidate(view: ServerView) = ServiceCandidate(
+    private fun serviceCandidate(view: ServerView, lastResort: Boolean) = ServiceCandidate(
         server = view.server,
         failureDomain = view.definition.failureDomain,
         freeSlots = view.freeSlots,
         predictedWait = costs.slotWait(view),
         predictedCall = view.perUnit,
         probe = view.excluded,
+        lastResort = lastResort,
     )
 
     private fun refused(reason: RefusalReason, delay: Duration, now: Timestamp) =
@@ -237,8 +243,8 @@
             val retryAt = now + untilUsable(unusable, now)
             return refusedExplanation(RefusalReason.NO_BACKEND_SERVER, retryAt, explained)
         }
-        val decodeCandidate = decodeCandidate(decode)
-        val prefillCandidate = prefillCandidate(prefill, request, decodeCandidate)
+        val decodeCandidate = decodeCandidate(decode, lastResort = decode.excluded)
+        val prefillCandidate = prefillCandidate(prefill, request, decodeCandidate, lastResort = prefill.excluded)
         val excess = excess(request, decodeCandidate, listOf(prefillCandidate), now)
         val refused = excess.isPositive()
         return Explanation(
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/straggler/ServerRow.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/straggler/ServerRow.kt
@@ -87,12 +87,12 @@
     }
 
     private fun summaryMeasurement(now: Timestamp): Duration? =
-        summary?.takeIf { it.tokenIntervalMicros > 0 && now - it.measuredAt <= MEASUREMENT_LIFETIME }
+        summary?.takeIf { it.tokenIntervalMicros > 0 && now - it.measuredAt <= SpeedEstimate.LIFETIME }
             ?.tokenIntervalMicros
             ?.microseconds
 
     private fun staleMeasurement(now: Timestamp): Duration? =
-        own.perUnit?.takeIf { own.isFresh(MEASUREMENT_LIFETIME, now) && own.samples >= SMALLEST_SAMPLE }
+        own.perUnit?.takeIf { own.isFresh(SpeedEstimate.LIFETIME, now) && own.samples >= SMALLEST_SAMPLE }
 
     fun exclude(now: Timestamp) {
         if (excludedSince != null) return
@@ -128,12 +128,12 @@
     }
 
     private fun freeSlots(now: Timestamp): Int {
-        val known = summary?.takeIf { now - it.measuredAt <= MEASUREMENT_LIFETIME }?.freeSlots ?: definition.slots
+        val known = summary?.takeIf { now - it.measuredAt <= SpeedEstimate.LIFETIME }?.freeSlots ?: definition.slots
         return (known - recentlyPlaced(now).size).coerceAtLeast(0)
     }
 
     private fun queuedWork(now: Timestamp): Int {
-        val known = summary?.takeIf { now - it.measuredAt <= MEASUREMENT_LIFETIME }?.queuedWork ?: 0
+        val known = summary?.takeIf { now - it.measuredAt <= SpeedEstimate.LIFETIME }?.queuedWork ?: 0
         return if (kind == ReservationKind.PREFILL) known + recentlyPlaced(now).sumOf { it.work } else known
     }
 
@@ -143,25 +143,22 @@
 
     private data class Silence(val streams: Int, val perUnit: Duration, val at: Timestamp)
 
-    internal companion object {
-        /** Time after which a slowdown of a few seconds has probably ended. */
-        val MEASUREMENT_LIFETIME: Duration = 5.seconds
-
-        private val OWN_LIFETIME: Duration = 500.milliseconds
-        private val SILENCE_LIFETIME: Duration = 100.milliseconds
-        private const val SMALLEST_SAMPLE = 2
+    private companion object {
+        val OWN_LIFETIME: Duration = 500.milliseconds
+        val SILENCE_LIFETIME: Duration = 100.milliseconds
+        const val SMALLEST_SAMPLE = 2
 
         /** Each of about twenty entries probes, so that a server gets a few tens of probes per second at most. */
-        private val PROBE_INTERVAL: Duration = 1.seconds
+        val PROBE_INTERVAL: Duration = 1.seconds
 
-        private val FIRST_BACKOFF: Duration = 250.milliseconds
-        private val LONGEST_BACKOFF: Duration = 10.seconds
-        private const val LARGEST_BACKOFF_EXPONENT = 6
+        val FIRST_BACKOFF: Duration = 250.milliseconds
+        val LONGEST_BACKOFF: Duration = 10.seconds
+        const val LARGEST_BACKOFF_EXPONENT = 6
 
         /** Time that a reservation request takes to reach the owner. */
-        private val IN_FLIGHT: Duration = 10.milliseconds
+        val IN_FLIGHT: Duration = 10.milliseconds
 
-        private val PLACED_LIFETIME: Duration = 1.seconds
-        private const val PLACED_LIMIT = 1_024
+        val PLACED_LIFETIME: Duration = 1.seconds
+        const val PLACED_LIMIT = 1_024
     }
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/straggler/ServerTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/straggler/ServerTable.kt
@@ -22,6 +22,7 @@
 public class ServerTable {
     private val rows = LinkedHashMap<BackendServerId, ServerRow>()
     private var pools: Map<PoolId, List<ServerRow>> = emptyMap()
+    private val latestMedians = HashMap<PoolId, Duration>()
 
     /** Applies the servers of [configuration]; what is known of servers that stay is kept. */
     public fun configure(configuration: DeploymentConfiguration) {
@@ -37,6 +38,7 @@
             rows[definition.address] = row
         }
         pools = rows.values.groupBy { it.definition.pool }
+        latestMedians.keys.retainAll(pools.keys)
     }
 
     /** Records that a decode stream of this instance received [tokens] output tokens in [elapsed]. */
@@ -101,11 +103,13 @@
     }
 
     /** Excludes slow servers and returns those whose speed is back. */
-    public fun tick(now: Timestamp): List<StragglerDecision> = pools.values.flatMap { compare(it, now) }
+    public fun tick(now: Timestamp): List<StragglerDecision> =
+        pools.flatMap { (name, members) -> compare(name, members, now) }
 
-    private fun compare(pool: List<ServerRow>, now: Timestamp): List<StragglerDecision> {
+    private fun compare(name: PoolId, pool: List<ServerRow>, now: Timestamp): List<StragglerDecision> {
         val usable = pool.filter { it.isUsable(now) }
         val median = median(usable, now)
+        if (median != null) latestMedians[name] = median
         val wanted = usable.filter { it.isSlow(median, now) }.sortedByDescending { it.measured(now) }
         val excluded = wanted.take(usable.size / EXCLUDED_PART).toSet()
         val returned = pool.filter { it.excludedSince != null && it !in excluded }.map { row ->
@@ -149,16 +153,19 @@
     /** Returns the servers of [pool] as they are known at [now]. */
     public fun servers(pool: PoolId, now: Timestamp): List<ServerView> {
         val members = pools[pool].orEmpty()
-        val median = poolMedian(pool, now)
-        return members.map { it.view(now, expected = median ?: it.defaultPerUnit) }
+        val expected = expected(pool, now)
+        return members.map { it.view(now, expected ?: it.defaultPerUnit) }
     }
 
     /** Returns what is known of [server] at [now]; null when the configuration does not name it. */
     public fun server(server: BackendServerId, now: Timestamp): ServerView? {
         val row = rows[server] ?: return null
-        return row.view(now, expected = poolMedian(row.definition.pool, now) ?: row.defaultPerUnit)
+        return row.view(now, expected(row.definition.pool, now) ?: row.defaultPerUnit)
     }
 
+    /** Returns the median of [pool], or the latest known one when nothing was measured lately. */
+    private fun expected(pool: PoolId, now: Timestamp): Duration? = poolMedian(pool, now) ?: latestMedians[pool]
+
     private fun defaultPerUnit(kind: ReservationKind, configuration: DeploymentConfiguration): Duration = when (kind) {
         ReservationKind.DECODE -> configuration.targets.betweenTokens
         ReservationKind.PREFILL -> DEFAULT_PREFILL_TIME
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/straggler/SpeedEstimate.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/straggler/SpeedEstimate.kt
@@ -8,6 +8,7 @@
 import kotlin.math.pow
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Converts work into the units in which speeds are compared: output tokens for decode, thousands of prompt tokens for
@@ -56,6 +57,7 @@
     fun observe(units: Double, elapsed: Duration, count: Int, now: Timestamp) {
         if (units <= 0.0 || count <= 0 || elapsed.isNegative()) return
         val sample = elapsed.inWholeMicroseconds / units
+        if (!isFresh(LIFETIME, now)) samples = 0
         microsPerUnit = if (samples == 0) sample else blended(sample, count)
         samples += count
         observedAt = now
@@ -74,6 +76,9 @@
     fun isFresh(age: Duration, now: Timestamp): Boolean = observedAt?.let { now - it <= age } ?: false
 
     internal companion object {
+        /** Age after which samples say nothing about the present; slowdowns last up to this long. */
+        val LIFETIME: Duration = 5.seconds
+
         /**
          * Weight of one output token. One interval of five times the usual one leaves the estimate below twice the
          * usual value, two in a row raise it above.
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/reservation/ReservationFixture.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/reservation/ReservationFixture.kt
@@ -34,7 +34,8 @@
         patience: Duration = 100.milliseconds,
         work: Int = 100,
         holder: InstanceId = instance(1),
-    ) = ReserveRequest(server, kind, AttemptId(attempt), holder, priority, work, now + patience, REVISION)
+        lastResort: Boolean = false,
+    ) = ReserveRequest(server, kind, AttemptId(attempt), holder, priority, work, now + patience, REVISION, lastResort)
 
     fun reserve(
         attempt: String,
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/reservation/ReservationLifetimeTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/reservation/ReservationLifetimeTest.kt
@@ -146,6 +146,14 @@
         expectThat(fixture.reserve("fourth")).isA<ReservationDecision.Granted>()
     }
 
+    @Test
+    fun `an excluded server takes a request that has no other server`() {
+        fixture.table.setExcluded(decodeServer(0), true, START)
+        repeat(2) { fixture.reserve("probe-$it") }
+        val request = fixture.request("last", lastResort = true)
+        expectThat(fixture.table.reserve(request, START)).isA<ReservationDecision.Granted>()
+    }
+
     @Test
     fun `an ended attempt is forgotten after five seconds, so that the memory stays bounded`() {
         fixture.release("a")
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/reservation/ReservationSteps.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/reservation/ReservationSteps.kt
@@ -15,7 +15,13 @@
 /** Describes one step; an attempt number always belongs to the same instance, `number % HOLDERS`. */
 internal sealed interface ReservationStep {
     /** A request; a repeated number is a duplicate of the network or a request after a release. */
-    data class Ask(val number: Int, val priority: Int, val work: Int, val patienceMillis: Int) : ReservationStep
+    data class Ask(
+        val number: Int,
+        val priority: Int,
+        val work: Int,
+        val patienceMillis: Int,
+        val lastResort: Boolean,
+    ) : ReservationStep
 
     /** A release; it may come twice, late, or before its request. */
     data class Release(val number: Int) : ReservationStep
@@ -33,6 +39,12 @@
 
     /** The operators take the server out of service or back. */
     data class SetLeaving(val leaving: Boolean) : ReservationStep
+
+    /** The server becomes slow or fast again. */
+    data class SetExcluded(val excluded: Boolean) : ReservationStep
+
+    /** A load report of the server that is [ageMillis] old. */
+    data class Correct(val active: Int, val ageMillis: Int) : ReservationStep
 }
 
 internal object ReservationSteps {
@@ -46,6 +58,12 @@
         weighted(8, Arbitraries.integers().between(1, 900).map { ReservationStep.Wait(it) }),
         weighted(1, holders().map { ReservationStep.Restart(it) }),
         weighted(1, Arbitraries.of(true, false, false).map { ReservationStep.SetLeaving(it) }),
+        weighted(1, Arbitraries.of(true, false, false).map { ReservationStep.SetExcluded(it) }),
+        weighted(
+            2,
+            Combinators.combine(Arbitraries.integers().between(0, 8), Arbitraries.integers().between(0, 2_000))
+                .`as` { active, age -> ReservationStep.Correct(active, age) },
+        ),
     ).list().ofMaxSize(LONGEST_SEQUENCE).withSizeDistribution(RandomDistribution.uniform())
 
     private fun weighted(
@@ -58,7 +76,8 @@
         Arbitraries.integers().between(0, 9),
         Arbitraries.integers().between(1, largestWork),
         Arbitraries.integers().between(0, 20_000),
-    ).`as` { number, priority, work, patience -> ReservationStep.Ask(number, priority, work, patience) }
+        Arbitraries.of(true, false, false, false),
+    ).`as` { number, priority, work, patience, last -> ReservationStep.Ask(number, priority, work, patience, last) }
 
     private fun reports(): Arbitrary<ReservationStep.Report> =
         Combinators.combine(holders(), numberSets(), Arbitraries.of(true, false, false, false))
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/reservation/ReservationTablePropertyTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/reservation/ReservationTablePropertyTest.kt
@@ -76,6 +76,8 @@
         is ReservationStep.Wait -> wait(step.millis)
         is ReservationStep.Restart -> restart(step.holder)
         is ReservationStep.SetLeaving -> setLeaving(step.leaving)
+        is ReservationStep.SetExcluded -> setExcluded(step.excluded)
+        is ReservationStep.Correct -> correct(step)
     }
 
     private fun ask(step: ReservationStep.Ask) {
@@ -87,6 +89,7 @@
             patience = step.patienceMillis.milliseconds,
             work = step.work,
             holder = instance(holder, incarnations[holder]),
+            lastResort = step.lastResort,
         )
         oracle.expire(fixture.now)
         val ended = oracle.isEnded(request.attempt)
@@ -134,7 +137,9 @@
     }
 
     private fun start(attempt: AttemptId, holder: InstanceId) {
-        val work = oracle.queue.remove(attempt)?.work ?: WORK
+        val queued = oracle.queue.remove(attempt)
+        if (queued == null && attempt !in oracle.held) oracle.noteAdopted()
+        val work = queued?.work ?: WORK
         oracle.hold(attempt, holder, work, fixture.now)
     }
 
@@ -160,6 +165,17 @@
         applyAll(fixture.table.configure(configuration, fixture.now))
     }
 
+    private fun setExcluded(excluded: Boolean) {
+        oracle.setExcluded(excluded, fixture.now)
+        applyAll(fixture.table.setExcluded(server, excluded, fixture.now))
+    }
+
+    private fun correct(step: ReservationStep.Correct) {
+        val report = LoadReport(fixture.now - step.ageMillis.milliseconds, step.active)
+        oracle.correct(report)
+        applyAll(fixture.table.correct(server, report, fixture.now))
+    }
+
     private fun applyAll(decisions: List<ReservationDecision>) = decisions.forEach { oracle.apply(it, fixture.now) }
 
     private fun attempt(number: Int, incarnation: Long = incarnations[number % HOLDERS]) =
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/routing/CompletionPlacementTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/routing/CompletionPlacementTest.kt
@@ -141,7 +141,10 @@
     fun `slow servers are candidates when nothing else is left`() {
         fixture.slowDown(3)
         val request = fixture.completion(excluded = (0..5).filter { it != 3 }.map { decodeServer(it) }.toSet())
-        expectThat(fixture.placed(request).decode.map { it.server }).isEqualTo(listOf(decodeServer(3)))
+        val placed = fixture.placed(request)
+        expectThat(placed.decode.map { it.server }).isEqualTo(listOf(decodeServer(3)))
+        expectThat(placed.decode.first().lastResort).isEqualTo(true)
+        expectThat(placed.prefill.first().lastResort).isEqualTo(false)
     }
 
     @Test
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/straggler/SlowServerTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/straggler/SlowServerTest.kt
@@ -172,6 +172,27 @@
         expectThat(table.server(prefillServer(2), now)?.excluded).isEqualTo(true)
     }
 
+    @Test
+    fun `a sample of long ago does not weigh against a new one`() {
+        repeat(3) { table.observePrefill(prefillServer(0), 800, 500.milliseconds, now) }
+        now += 10.seconds
+        repeat(2) { table.observePrefill(prefillServer(0), 800, 50.milliseconds, now) }
+        expectThat(table.server(prefillServer(0), now)?.perUnit).isEqualTo(50.milliseconds)
+    }
+
+    @Test
+    fun `predictions keep the last known speed of the pool when nothing was measured lately`() {
+        (0..5).forEach { server ->
+            repeat(2) { table.observePrefill(prefillServer(server), 800, 200.milliseconds, now) }
+        }
+        table.tick(now)
+        now += 60.seconds
+        expectThat(table.server(prefillServer(0), now)).isNotNull().and {
+            get { measured }.isFalse()
+            get { perUnit }.isEqualTo(200.milliseconds)
+        }
+    }
+
     @Test
     fun `requests that were just placed count against the free slots until a summary includes them`() {
         table.merge(summary(decodeServer(0), now, freeSlots = 5))
