Show the largest of maxima in counters

Ruled out: leaving maxima out of the table, because the largest one is useful.

Conclusion: the table shows values that exist.

--- a/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/InstanceCommands.kt
+++ b/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/InstanceCommands.kt
@@ -26,6 +26,8 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.doubleOrNull
+import java.math.BigDecimal
+import java.math.RoundingMode
 
 /** Maps operator addresses to what their instances answered. */
 internal typealias InstanceAnswers = Map<String, Result<JsonElement, InstanceError>>
@@ -197,7 +199,8 @@
     private val all by option("--all", help = "Also show counters that are 0 in the table; JSON always has them").flag()
 
     override fun help(context: Context): String =
-        "Show the counters of the named instances and of every other instance that these name; a table shows the sums."
+        "Show the counters of the named instances and of every other instance that these name. " +
+            "The table shows the sum over the instances, and for maxima the largest."
 
     override fun helpEpilog(context: Context): String = example("counters --instance 127.0.0.1:18082")
 
@@ -207,21 +210,29 @@
             askEach(fleet.instances.map { it.operatorAddress }) { address -> client.get(address, "/operator/counters") }
         }
         if (options.output == OutputFormat.JSON) return printAnswers(answers) { emptyList() }
-        val sums = sums(answers.values.mapNotNull { answer -> answer.get()?.asObject() })
-            .filterValues { sum -> all || sum != 0.0 }
-        printTable(listOf("COUNTER", "SUM"), sums.map { (name, sum) -> listOf(name, counterText(sum)) })
+        val combined = combine(answers.values.mapNotNull { answer -> answer.get()?.asObject() })
+            .filterValues { value -> all || value != 0.0 }
+        printTable(listOf("COUNTER", "VALUE"), combined.map { (name, value) -> listOf(name, counterText(value)) })
         endWith(answers.values.mapNotNull { answer -> answer.getError() })
     }
 
-    private fun sums(counters: List<JsonObject>): Map<String, Double> = counters
+    private fun combine(counters: List<JsonObject>): Map<String, Double> = counters
         .flatMap { it.entries }
         .groupBy({ (name, _) -> name }, { (_, value) -> (value as? JsonPrimitive)?.doubleOrNull ?: 0.0 })
-        .mapValues { (_, values) -> values.sum() }
+        .mapValues { (name, values) -> if (isMaximum(name)) values.max() else values.sum() }
         .toSortedMap()
 
-    /** Counters are whole numbers that the daemon sends as floating point. */
-    private fun counterText(value: Double): String =
-        if (value == value.toLong().toDouble()) value.toLong().toString() else value.toString()
+    private fun isMaximum(name: String): Boolean = name.substringBefore('{').endsWith("_max")
+
+    /** Counters are whole numbers that the daemon sends as floating point; times have microseconds. */
+    private fun counterText(value: Double): String = BigDecimal.valueOf(value)
+        .setScale(MICROSECOND_DIGITS, RoundingMode.HALF_UP)
+        .stripTrailingZeros()
+        .toPlainString()
+
+    private companion object {
+        const val MICROSECOND_DIGITS = 6
+    }
 }
 
 private const val QUARANTINE_PATH = "/operator/quarantine"
--- a/arbutusnotch-cli/src/test/kotlin/org/arbutusnotch/cli/InstanceCommandsTest.kt
+++ b/arbutusnotch-cli/src/test/kotlin/org/arbutusnotch/cli/InstanceCommandsTest.kt
@@ -100,16 +100,17 @@
         }
     }
 
-    /** Guards against counters of one instance that are taken for those of the deployment. */
+    /** Guards against counters of one instance taken for those of all, and against sums of maxima. */
     @Test
-    fun `counters are summed over all instances`() {
-        val answers = mapOf("GET /operator/counters" to """{"refused_capacity":1234567.0,"answered":2,"denied":0}""")
+    fun `counters are combined over all instances`() {
+        val answers = mapOf("GET /operator/counters" to COUNTERS)
         withChain(3, answers) { instances ->
             val table = arbutusnotchctl("counters", "--instance", instances.first().address)
             expectThat(table.exitCode).isEqualTo(0)
             expectThat(table.standardOutput.trim().lines().map { it.split(Regex(" +")) }).containsExactly(
-                listOf("COUNTER", "SUM"),
+                listOf("COUNTER", "VALUE"),
                 listOf("answered", "6"),
+                listOf("first_token_max{priority=9}", "0.115"),
                 listOf("refused_capacity", "3703701"),
             )
             val all = arbutusnotchctl("counters", "--all", "--instance", instances.first().address)
@@ -135,6 +136,8 @@
 
     private companion object {
         const val DELETE_QUARANTINE = "DELETE /operator/quarantine"
+        const val COUNTERS =
+            """{"refused_capacity":1234567.0,"answered":2,"denied":0,"first_token_max{priority=9}":0.1149999999}"""
         const val ENTRY_POINTS =
             """{"entry_points":["10.0.0.1:8080","10.0.0.2:8080"],"valid_until_epoch_millis":5,"issuer_prefix":null}"""
         const val EXPLANATION =
