--- a/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/quickstart/Quickstart.kt
+++ b/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/quickstart/Quickstart.kt
@@ -28,6 +28,7 @@
 import org.arbutusnotch.testing.load.CallerBehaviour
 import org.arbutusnotch.testing.load.CallerClient
 import org.arbutusnotch.testing.load.Demand
+import org.arbutusnotch.testing.load.ExecutionCheck
 import org.arbutusnotch.testing.load.LoadPlan
 import org.arbutusnotch.testing.load.LoadResult
 import org.arbutusnotch.testing.load.LoadRunner
@@ -148,18 +149,15 @@
 
     fun report(): TrialReport {
         val released = deployment.awaitNothingHeld(RELEASE_TIMEOUT)
-        val runsTwice = deployment.executions().flatMap { it.executions }
-            .filter { it.idempotencyKey != null }
-            .groupBy { it.operation to it.idempotencyKey }
-            .count { (_, runs) -> runs.sumOf { it.count } > 1 }
+        val executions = ExecutionCheck.of(result.records, deployment.executions())
         val unknown = result.records.count { it.outcome == ObservedOutcome.UNKNOWN }
         val answered = result.records.count { it.outcome == ObservedOutcome.ANSWERED }
-        val passed = released && runsTwice == 0 && unknown == 0 && result.faulty == 0 && answered > 0
+        val passed = released && executions.isClean && unknown == 0 && result.faulty == 0 && answered > 0
         val text = buildString {
             appendLine("== $name: ${if (passed) "passed" else "FAILED"}")
             append(loadTable(result, targets))
             append(serverTable())
-            appendLine("  held_after_load=${!released} non_idempotent_requests_run_twice=$runsTwice")
+            appendLine("  held_after_load=${!released} non-idempotent calls: $executions")
         }
         return TrialReport(text, passed)
     }
