Add failure tests over separate processes

Cause: no test ran the daemon, emulators and callers as separate processes while some of them crash, pause, drain or lose each other.

Ruled out: fixed waits; the tests wait for ended requests, process states and counters.

--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/backend/EngineMessages.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/backend/EngineMessages.kt
@@ -76,7 +76,7 @@
 /**
  * Describes memory that an engine holds for an attempt.
  *
- * @property kind `prefill` or `decode`
+ * @property kind kind of work that holds the memory, such as `prefill`, `prefill_result` or `decode`
  * @property pieces blocks of engine memory
  */
 @Serializable
--- /dev/null
+++ b/arbutusnotch-tests/src/test/kotlin/org/arbutusnotch/tests/ConfigurationFailureTest.kt
@@ -0,0 +1,70 @@
+/*
+ * Configuration changes while the platform is stale or down.
+ */
+package org.arbutusnotch.tests
+
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.longOrNull
+import org.arbutusnotch.testing.launch.Deployment
+import org.arbutusnotch.testing.platform.PlatformFault
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.BeforeEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.seconds
+
+class ConfigurationFailureTest {
+    private lateinit var deployment: Deployment
+
+    @BeforeEach
+    fun start() {
+        deployment = startDeployment()
+    }
+
+    @AfterEach
+    fun stop() = deployment.close()
+
+    /** Guards against a revision that some instances never use, and against an invalid file that any of them uses. */
+    @Test
+    fun `a valid revision becomes active everywhere and an invalid one nowhere`() {
+        expectThat(deployment.publish(operatorsFile().revised(2))).isTrue()
+        awaitRevision(2)
+
+        expectThat(deployment.publish("revision = 3\n")).isTrue()
+        expectThat(deployment.publish(operatorsFile().revised(4))).isTrue()
+        awaitRevision(4)
+    }
+
+    /** Guards against an instance that goes back to an old revision which a stale platform serves (property P8). */
+    @Test
+    fun `an instance that starts at a stale platform gets the newer revision from its peers`() {
+        deployment.publish(operatorsFile().revised(2))
+        awaitRevision(2)
+        deployment.platformFault(PlatformFault.Stale(version = 1))
+        deployment.process("instance-3").kill()
+        deployment.restart("instance-3", 60.seconds)
+
+        expectThat(deployment.instanceIds.map(::revision)).isEqualTo(listOf<Long?>(2, 2, 2))
+    }
+
+    /** Guards against an instance that cannot start, or serves without a configuration, while the platform is down. */
+    @Test
+    fun `an instance starts while the platform is down`() {
+        deployment.publish(operatorsFile().revised(2))
+        awaitRevision(2)
+        deployment.platformFault(PlatformFault.Down)
+        deployment.process("instance-1").kill()
+        deployment.restart("instance-1", 60.seconds)
+
+        expectThat(deployment.instanceIds.map(::revision)).isEqualTo(listOf<Long?>(2, 2, 2))
+    }
+
+    private fun awaitRevision(number: Long) =
+        awaitState("revision $number on every instance") { deployment.instanceIds.all { revision(it) == number } }
+
+    private fun revision(id: String): Long? = (deployment.status(id)?.get("revision") as? JsonPrimitive)?.longOrNull
+
+    private fun String.revised(number: Int): String = replaceFirst("revision = 1", "revision = $number")
+}
