Test the operators' guide against the programs

Cause: refusal reasons, exit codes and command lines in the pages can drift from the programs.

Change: a test that each refusal reason has a row with its status, each exit code has a row, and each command line of guide and README is valid.

--- /dev/null
+++ b/arbutusnotch-cli/src/test/kotlin/org/arbutusnotch/cli/OperatorsGuideTest.kt
@@ -0,0 +1,62 @@
+/*
+ * The operators' guide against the values that the programs use.
+ */
+package org.arbutusnotch.cli
+
+import org.arbutusnotch.core.outcome.RefusalReason
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isGreaterThan
+import java.nio.file.Path
+import kotlin.io.path.readLines
+
+class OperatorsGuideTest {
+    private val lines = Path.of("../docs/operators.md").readLines()
+
+    /** Guards against a refusal that an operator sees and finds nothing about, or with another status. */
+    @Test
+    fun `every refusal reason has a row with its status`() {
+        val undocumented = RefusalReason.entries.filterNot { reason ->
+            lines.any { line -> line.startsWith("| `${reason.code}` | ${reason.httpStatus} | ") }
+        }
+        expectThat(undocumented).isEmpty()
+    }
+
+    /** Guards against an exit code of the tool that scripts meet and the guide does not explain. */
+    @Test
+    fun `every exit code of the tool has a row`() {
+        val table = lines.dropWhile { line -> "exit code of `arbutusnotchctl`" !in line }.takeWhile { it.isNotEmpty() }
+        val undocumented = ExitCode.entries.filterNot { code ->
+            table.any { line -> line.startsWith("| ${code.value} | ") }
+        }
+        expectThat(undocumented).isEmpty()
+    }
+
+    /** Guards against a command or an option in the pages that the tool does not have. */
+    @Test
+    fun `every command line of the pages is valid`() {
+        val commandLines = (lines + Path.of("../README.md").readLines()).map { line -> line.trim() }
+            .filter { line -> line.startsWith(TOOL) }
+            .map { line -> onThisMachine(line.removePrefix(TOOL).trim().split(" ")) }
+        val invalid = commandLines.filter { words ->
+            arbutusnotchctl(*words.toTypedArray()).exitCode !in setOf(ExitCode.DONE.value, ExitCode.UNREACHABLE.value)
+        }
+        expectThat(commandLines.size).isGreaterThan(MINIMUM_COMMAND_LINES)
+        expectThat(invalid).isEmpty()
+    }
+
+    /** Returns the command line with an address on which nothing listens, the shortest timeout and existing files. */
+    private fun onThisMachine(words: List<String>): List<String> = words.mapIndexed { index, word ->
+        when {
+            words.getOrNull(index - 1) == "--instance" -> unusedAddress()
+            words.getOrNull(index - 1) == "--timeout" -> "1"
+            else -> word.replace("examples/", "../examples/")
+        }
+    }
+
+    private companion object {
+        const val TOOL = "bin/arbutusnotchctl"
+        const val MINIMUM_COMMAND_LINES = 8
+    }
+}
