Refuse queued requests that an excluded server has no probe for

Cause: a queued request beyond the probe limit stayed at the head of the queue of an excluded server and blocked a request behind it that had no other server.

Ruled out: passing over the blocked request, because it would wait until its deadline although its entry knows other servers.

Change: deciding the queue first refuses what the exclusion does not admit.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/reservation/ReservationTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/reservation/ReservationTable.kt
@@ -256,6 +256,7 @@
     private fun decide(row: ReservedServer, now: Timestamp): List<ReservationDecision> {
         if (row.queue.isEmpty()) return emptyList()
         val decisions = refuseOverdue(row, now)
+        decisions += refuseQueue(row, ReservationRefusal.EXCLUDED, now) { row.isExcludedFor(it) }
         while (row.queue.isNotEmpty() && row.canStart(row.queue.first().request, now)) {
             val head = row.queue.removeAt(0).request
             decisions += granted(row, head.toReservation(now), now)
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/reservation/ReservationLifetimeTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/reservation/ReservationLifetimeTest.kt
@@ -154,6 +154,18 @@
         expectThat(fixture.table.reserve(request, START)).isA<ReservationDecision.Granted>()
     }
 
+    @Test
+    fun `a request that has no other server does not wait behind those that an excluded server refuses`() {
+        repeat(4) { fixture.reserve("a$it") }
+        fixture.after(10.milliseconds)
+        fixture.table.setExcluded(decodeServer(0), true, fixture.now)
+        fixture.table.reserve(fixture.request("last", patience = 19.seconds, lastResort = true), fixture.now)
+        repeat(3) { fixture.reserve("b$it", priority = 4, patience = 10.seconds) }
+        val decisions = (0..2).flatMap { fixture.release("a$it") }
+        expectThat(decisions.granted()).containsExactly("b0", "b1", "last")
+        expectThat(decisions.refused()).containsExactly("b2")
+    }
+
     @Test
     fun `an ended attempt is forgotten after five seconds, so that the memory stays bounded`() {
         fixture.release("a")
