Restart crashed engines of a benchmark independently of each other

Cause: an engine that crashed while another one was restarting stayed away for seconds, so the poison scenario refused innocent requests for lack of servers.

Change: one watch per engine.

--- a/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/bench/PolicyRun.kt
+++ b/arbutusnotch-testing/src/main/kotlin/org/arbutusnotch/testing/bench/PolicyRun.kt
@@ -96,10 +96,10 @@
 
     private suspend fun loadWithEvents(client: CallerClient): LoadResult = coroutineScope {
         val events = launch(Dispatchers.IO) { runEvents(client) }
-        val watch = launch(Dispatchers.IO) { restartCrashedEngines() }
+        val watches = engines.map { launch(Dispatchers.IO) { restartCrashed(it) } }
         val result = LoadRunner(client).run(plan.load)
         events.cancel()
-        watch.cancel()
+        watches.forEach { it.cancel() }
         result
     }
 
@@ -144,9 +144,9 @@
         }
     }
 
-    private suspend fun CoroutineScope.restartCrashedEngines() {
+    private suspend fun CoroutineScope.restartCrashed(id: String) {
         while (isActive) {
-            engines.filter { !deployment.process(it).isAlive }.forEach { id ->
+            if (!deployment.process(id).isAlive) {
                 crashes.incrementAndGet()
                 delay(RESTART_AFTER)
                 deployment.restart(id)
