--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/straggler/ServerTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/straggler/ServerTable.kt
@@ -22,6 +22,7 @@
 public class ServerTable {
     private val rows = LinkedHashMap<BackendServerId, ServerRow>()
     private var pools: Map<PoolId, List<ServerRow>> = emptyMap()
+    private val latestMedians = HashMap<PoolId, Duration>()
 
     /** Applies the servers of [configuration]; what is known of servers that stay is kept. */
     public fun configure(configuration: DeploymentConfiguration) {
@@ -37,6 +38,7 @@
             rows[definition.address] = row
         }
         pools = rows.values.groupBy { it.definition.pool }
+        latestMedians.keys.retainAll(pools.keys)
     }
 
     /** Records that a decode stream of this instance received [tokens] output tokens in [elapsed]. */
@@ -101,64 +103,68 @@
     }
 
     /** Excludes slow servers and returns those whose speed is back. */
-    public fun tick(now: Timestamp): List<StragglerDecision> = pools.values.flatMap { compare(it, now) }
+    public fun tick(now: Timestamp): List<StragglerDecision> =
+        pools.flatMap { (name, members) -> compare(name, members, now) }
 
-    private fun compare(pool: List<ServerRow>, now: Timestamp): List<StragglerDecision> {
+    private fun compare(name: PoolId, pool: List<ServerRow>, now: Timestamp): List<StragglerDecision> {
         val usable = pool.filter { it.isUsable(now) }
-        val median = median(usable, now)
-        val wanted = usable.filter { it.isSlow(median, now) }.sortedByDescending { it.measured(now) }
-        val excluded = wanted.take(usable.size / EXCLUDED_PART).toSet()
-        val returned = pool.filter { it.excludedSince != null && it !in excluded }.map { row ->
+        val slowestFirst = measuredSlowestFirst(usable, now)
+        val median = slowestFirst.median()
+        if (median != null) latestMedians[name] = median
+        val slow = slowestFirst.takeWhile { median != null && it.perUnit > median * RETURN_RATIO }
+            .filter { it.row.excludedSince != null || it.isSlow(median) }
+        val excluded = slow.take(usable.size / EXCLUDED_PART)
+        val keep = excluded.mapTo(HashSet()) { it.row }
+        val returned = pool.filter { it.excludedSince != null && it !in keep }.map { row ->
             row.returnToPool()
-            StragglerDecision.Returned(row.definition.address, returnReason(row, row in wanted, now))
+            StragglerDecision.Returned(row.definition.address, returnReason(row, slow.any { it.row === row }, now))
         }
-        val added = excluded.filter { it.excludedSince == null }.map { row ->
-            row.exclude(now)
-            StragglerDecision.Excluded(
-                row.definition.address,
-                row.measured(now) ?: Duration.ZERO,
-                median ?: Duration.ZERO,
-            )
+        val added = excluded.filter { it.row.excludedSince == null }.map { measured ->
+            measured.row.exclude(now)
+            StragglerDecision.Excluded(measured.row.definition.address, measured.perUnit, median ?: measured.perUnit)
         }
         return returned + added
     }
 
-    private fun ServerRow.isUsable(now: Timestamp): Boolean = definition.state == ServerState.LIVE && !isFailed(now)
-
-    private fun ServerRow.isSlow(median: Duration?, now: Timestamp): Boolean {
-        val perUnit = measured(now) ?: return false
-        if (median == null) return false
-        return perUnit > median * if (excludedSince == null) SLOW_RATIO else RETURN_RATIO
+    private class MeasuredServer(val row: ServerRow, val perUnit: Duration) {
+        fun isSlow(median: Duration?): Boolean = median != null && perUnit > median * SLOW_RATIO
     }
 
+    private fun measuredSlowestFirst(rows: List<ServerRow>, now: Timestamp): List<MeasuredServer> =
+        rows.mapNotNull { row -> row.measured(now)?.let { MeasuredServer(row, it) } }
+            .sortedByDescending { it.perUnit }
+
+    /** Returns the lower median, so that the faster one of two servers is the measure. */
+    private fun List<MeasuredServer>.median(): Duration? = getOrNull(size / 2)?.perUnit
+
+    private fun ServerRow.isUsable(now: Timestamp): Boolean = definition.state == ServerState.LIVE && !isFailed(now)
+
     private fun returnReason(row: ServerRow, slow: Boolean, now: Timestamp): ReturnReason = when {
         slow -> ReturnReason.LIMIT
         row.measured(now) == null -> ReturnReason.NOT_MEASURED
         else -> ReturnReason.SPEED_IS_BACK
     }
 
-    private fun median(rows: List<ServerRow>, now: Timestamp): Duration? {
-        val measured = rows.mapNotNull { it.measured(now) }.sorted()
-        return measured.getOrNull((measured.size - 1) / 2)
-    }
-
     /** Returns the median time for one unit of work in [pool]; null when nothing was measured lately. */
     public fun poolMedian(pool: PoolId, now: Timestamp): Duration? =
-        median(pools[pool].orEmpty().filter { it.isUsable(now) }, now)
+        measuredSlowestFirst(pools[pool].orEmpty().filter { it.isUsable(now) }, now).median()
 
     /** Returns the servers of [pool] as they are known at [now]. */
     public fun servers(pool: PoolId, now: Timestamp): List<ServerView> {
         val members = pools[pool].orEmpty()
-        val median = poolMedian(pool, now)
-        return members.map { it.view(now, expected = median ?: it.defaultPerUnit) }
+        val expected = expected(pool, now)
+        return members.map { it.view(now, expected ?: it.defaultPerUnit) }
     }
 
     /** Returns what is known of [server] at [now]; null when the configuration does not name it. */
     public fun server(server: BackendServerId, now: Timestamp): ServerView? {
         val row = rows[server] ?: return null
-        return row.view(now, expected = poolMedian(row.definition.pool, now) ?: row.defaultPerUnit)
+        return row.view(now, expected(row.definition.pool, now) ?: row.defaultPerUnit)
     }
 
+    /** Returns the median of [pool] at the latest tick with measurements, which saves sorting for each placement. */
+    private fun expected(pool: PoolId, now: Timestamp): Duration? = latestMedians[pool] ?: poolMedian(pool, now)
+
     private fun defaultPerUnit(kind: ReservationKind, configuration: DeploymentConfiguration): Duration = when (kind) {
         ReservationKind.DECODE -> configuration.targets.betweenTokens
         ReservationKind.PREFILL -> DEFAULT_PREFILL_TIME
