--- /dev/null
+++ b/arbutusnotch-tests/src/test/kotlin/org/arbutusnotch/tests/QuarantineFailureTest.kt
@@ -0,0 +1,55 @@
+/*
+ * Prompts that crash every engine that decodes them, sent again and again by their callers.
+ */
+package org.arbutusnotch.tests
+
+import org.arbutusnotch.testing.engine.EngineFault
+import org.arbutusnotch.testing.expected.ExpectedOutput
+import org.arbutusnotch.testing.launch.Deployment
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isIn
+import kotlin.time.Duration.Companion.seconds
+
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class QuarantineFailureTest {
+    private lateinit var deployment: Deployment
+
+    @BeforeAll
+    fun start() {
+        deployment = startDeployment()
+    }
+
+    @AfterAll
+    fun stop() = deployment.close()
+
+    /** Guards against one request that crashes one engine after the other as it and its caller retry. */
+    @ParameterizedTest
+    @ValueSource(longs = [9_000_001, 9_000_002, 9_000_003, 9_000_004])
+    fun `a prompt that crashes engines crashes two at most`(prompt: Long) {
+        val decodes = deployment.description.engines.map { it.id }.filter { it.startsWith("sheet-decode") }
+        val digest = ExpectedOutput.promptDigest(completion(prompt).prompt.text())
+        decodes.forEach { deployment.engineFault(it, EngineFault.CrashOnPrompt(promptDigest = digest)) }
+        val records = BusyCallers(deployment, workers = 1) { completion(prompt) }.use { callers ->
+            callers.awaitMore(CALLS)
+            callers.finish()
+        }
+        val crashed = decodes.filterNot { deployment.process(it).isAlive }
+        println("crashed=$crashed outcomes=${records.summary()}")
+        crashed.forEach { deployment.restart(it, RESTART_LIMIT) }
+        decodes.forEach { deployment.engineFault(it, EngineFault.Clear) }
+
+        expectThat(decodes).hasSize(4)
+        expectThat(crashed.size).isIn(1..2)
+    }
+
+    private companion object {
+        const val CALLS = 6
+        val RESTART_LIMIT = 60.seconds
+    }
+}
