--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/configuration/RevisionTableTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/configuration/RevisionTableTest.kt
@@ -131,6 +131,14 @@
         expectThat(table.active?.mark).isEqualTo(markOf(1))
     }
 
+    @Test
+    fun `a content is no candidate when a peer already has another one`() {
+        table.merge(first, PeerMarks(candidate = markOf(2, "other")))
+        expectThat(offer(2)).any { isA<RevisionEvent.Conflict>() }
+        expectThat(table.candidate).isNull()
+        expectThat(table.marks.conflicted).isEqualTo(RevisionNumber(2))
+    }
+
     @Test
     fun `a candidate is rejected when a peer says that its revision is in conflict`() {
         offer(2)
