Give instances of a large fleet longer until they count as unreachable

Cause: a gossip message has at most 32 rows, so in a larger fleet a heartbeat often takes more than 1.5 s to arrive, and live instances count as unreachable.

Change: the suspicion deadline grows with the number of messages that the rows fill. Fleets of up to 32 instances keep 1.5 s.

Conclusion: a dead instance of a large fleet is noticed later by gossip; markUnreachable reports it as soon as a connection fails.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
@@ -43,7 +43,8 @@
  *
  * @param own the row of this process
  * @param seeds addresses to contact when the published list is not available
- * @param suspicion time without a heartbeat rise after which an instance is unreachable
+ * @param suspicion time without a heartbeat rise after which an instance is unreachable, in a fleet of at most
+ * [ROW_LIMIT] instances; it grows in proportion in a larger one
  * @param removal time without a heartbeat rise after which a row is removed
  */
 public class InstanceTable(
@@ -163,7 +164,7 @@
         val previous = known?.row?.instance
         val wasReachable = known?.reachable == true && previous == row.instance
         val lastSending = known?.lastSending ?: 0L
-        peers[row.instance.address] = KnownInstance(row, now + suspicion, now + removal, lastSending)
+        peers[row.instance.address] = KnownInstance(row, suspectAt(now), now + removal, lastSending)
         return listOfNotNull(
             previous?.takeIf { it != row.instance }?.let { MembershipEvent.Replaced(it, row.instance) },
             MembershipEvent.BecameReachable(row.instance).takeUnless { wasReachable },
@@ -175,12 +176,18 @@
         return MembershipEvent.BecameUnreachable(known.row.instance)
     }
 
+    /**
+     * Returns the suspicion deadline of a heartbeat that rose at [now]. In a fleet that does not fit into one gossip
+     * message, a heartbeat travels for longer, in proportion to the number of messages that the rows fill.
+     */
+    private fun suspectAt(now: Timestamp): Timestamp = now + suspicion * maxOf(1.0, (peers.size + 1.0) / ROW_LIMIT)
+
     /** A paused process received no gossip, so its peers' silence meanwhile means nothing. */
     private fun extendSuspicionAfterPause(now: Timestamp) {
         val previous = lastTick
         lastTick = now
         if (previous == null || now - previous <= TICK_GAP_LIMIT) return
-        peers.values.filter { it.reachable }.forEach { it.suspectAt = now + suspicion }
+        peers.values.filter { it.reachable }.forEach { it.suspectAt = suspectAt(now) }
     }
 
     private fun isNewer(row: InstanceRow, known: InstanceRow): Boolean =
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/InstanceTableTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/InstanceTableTest.kt
@@ -38,6 +38,16 @@
         expectThat(events).containsExactly(MembershipEvent.BecameReachable(rowOf(2).instance))
     }
 
+    @Test
+    fun `an instance of a large fleet has longer until its heartbeat must rise`() {
+        table.merge((2..(2 * InstanceTable.ROW_LIMIT)).map { rowOf(it) }, start)
+        table.merge(listOf(rowOf(2, heartbeat = 2)), start)
+        tickUntil(2_900)
+        expectThat(table.find(addressOf(2))?.reachable).isEqualTo(true)
+        table.tick(start + 3_000.milliseconds)
+        expectThat(table.find(addressOf(2))?.reachable).isEqualTo(false)
+    }
+
     @Test
     fun `a later incarnation replaces an earlier one whatever its heartbeat`() {
         table.merge(listOf(rowOf(2, incarnation = 1, heartbeat = 900)), start)
