--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
@@ -44,7 +44,8 @@
  *
  * @param own the row of this process
  * @param seeds addresses to contact when the published list is not available
- * @param suspicion time without a heartbeat rise after which an instance is unreachable
+ * @param suspicion time without a heartbeat rise after which an instance is unreachable, in a fleet of at most
+ * [ROW_LIMIT] instances; it grows in proportion in a larger one
  * @param removal time without a heartbeat rise after which a row is removed
  */
 public class InstanceTable(
@@ -187,7 +188,7 @@
         val wasReachable = known?.reachable == true && previous == row.instance
         peers[row.instance.address] = KnownInstance(
             row = row,
-            suspectAt = now + suspicionTime(),
+            suspectAt = suspectAt(now),
             removeAt = now + removal,
             lastSending = known?.lastSending ?: 0L,
             lastHeartbeatSending = known?.lastHeartbeatSending ?: 0L,
@@ -203,12 +204,19 @@
         return MembershipEvent.BecameUnreachable(known.row.instance)
     }
 
+    /**
+     * Returns the suspicion deadline of a heartbeat that rose at [now]. In a fleet that does not fit into one gossip
+     * message, a heartbeat travels for longer, in proportion to the number of messages that the rows fill.
+     */
+    private fun suspectAt(now: Timestamp): Timestamp =
+        now + suspicion * maxOf(1.0, (peers.size + 1.0) / (ROW_LIMIT + HEARTBEAT_LIMIT))
+
     /** A paused process received no gossip, so its peers' silence meanwhile means nothing. */
     private fun extendSuspicionAfterPause(now: Timestamp) {
         val previous = lastTick
         lastTick = now
         if (previous == null || now - previous <= TICK_GAP_LIMIT) return
-        peers.values.filter { it.reachable }.forEach { it.suspectAt = now + suspicionTime() }
+        peers.values.filter { it.reachable }.forEach { it.suspectAt = suspectAt(now) }
     }
 
     private fun isNewer(row: InstanceRow, known: InstanceRow): Boolean {
@@ -224,10 +232,6 @@
         else -> known.copy(heartbeat = maxOf(row.heartbeat, known.heartbeat))
     }
 
-    /** In a large view a heartbeat is passed on less often, since the size of a message does not grow with the view. */
-    private fun suspicionTime(): Duration =
-        suspicion + SUSPICION_PER_INSTANCE * (peers.size - SMALL_VIEW).coerceAtLeast(0)
-
     private fun view(row: InstanceRow, reachable: Boolean): InstanceView =
         InstanceView(row, reachable, published[row.instance.address]?.leaving == true)
 
@@ -245,9 +249,6 @@
         /** Number of heartbeats without their rows in one gossip message. */
         public const val HEARTBEAT_LIMIT: Int = 28
 
-        private const val SMALL_VIEW = 64
-        private val SUSPICION_PER_INSTANCE = 20.milliseconds
-
         /** Number of reachable peers that one gossip goes to. */
         public const val GOSSIP_TARGETS: Int = 2
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/permit/PermitAttempt.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/permit/PermitAttempt.kt
@@ -66,11 +66,21 @@
         val holding = state as? AttemptState.Holding ?: return PermitStep()
         val refusal = refusalBeforeWrite(now, holding.deadline, lastTick, tickGapLimit)
         if (refusal != null) return fail(refusal, retryAt)
-        state = AttemptState.Writing(holding.permit)
+        state = AttemptState.Writing(holding.permit, holding.deadline)
         wrote = true
         return null
     }
 
+    /**
+     * Takes that the backend server cannot have run the request: no byte of it was written, or the server itself
+     * answered that it is full. The attempt holds its permit again and may write to another server.
+     */
+    public fun notReceived() {
+        val writing = state as? AttemptState.Writing ?: return
+        state = AttemptState.Holding(writing.permit, writing.deadline)
+        wrote = false
+    }
+
     /** Takes the complete [answer] of the backend server. */
     public fun answered(answer: RecordedAnswer): PermitStep {
         val writing = state as? AttemptState.Writing ?: return PermitStep()
@@ -116,7 +126,7 @@
 
     class Holding(val permit: Long, val deadline: Timestamp) : AttemptState
 
-    class Writing(val permit: Long) : AttemptState
+    class Writing(val permit: Long, val deadline: Timestamp) : AttemptState
 
     data object Ended : AttemptState
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/permit/PermitDecision.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/permit/PermitDecision.kt
@@ -77,7 +77,7 @@
  * grants none. Without it the token would stay unusable until the permit's deadline and be `unknown` from then on. It
  * must not be used for an attempt that has written: the reply may be a repetition of the permit that was used.
  */
-internal fun returnOfLatePermit(request: PermitRequest, reply: PermitReply): PermitClose? =
+public fun returnOfLatePermit(request: PermitRequest, reply: PermitReply): PermitClose? =
     (reply as? PermitReply.Granted)?.let {
         PermitClose(request.key, request.attempt, it.permit, PermitResult.HandedBack)
     }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/permit/PermitAttemptTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/permit/PermitAttemptTest.kt
@@ -54,6 +54,18 @@
         expectThat(outcomeOf(step)).isEqualTo(RequestOutcome.Unknown(RefusalReason.BACKEND_FAILED))
     }
 
+    @Test
+    fun `a write that no server received leaves the permit usable and returnable`() {
+        attempt.replied(granted)
+        expectThat(write()).isNull()
+        attempt.notReceived()
+        expectThat(write()).isNull()
+        attempt.notReceived()
+        val step = attempt.fail(RefusalReason.NO_BACKEND_SERVER)
+        expectThat(step.close?.result).isEqualTo(PermitResult.HandedBack)
+        expectThat(outcomeOf(step)).isEqualTo(RequestOutcome.NotRun(RefusalReason.NO_BACKEND_SERVER))
+    }
+
     @Test
     fun `a pause before the write returns the permit`() {
         attempt.replied(granted)
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
@@ -55,6 +55,7 @@
 import org.arbutusnotch.daemon.platform.PlatformClient
 import org.arbutusnotch.daemon.telemetry.Counters
 import org.arbutusnotch.daemon.telemetry.EventLog
+import org.arbutusnotch.peer.PeerError
 import org.arbutusnotch.peer.PeerTransport
 import org.arbutusnotch.settings.DaemonSettings
 import java.net.InetSocketAddress
@@ -81,9 +82,9 @@
     private val engine = EngineClient(clientFactory, clock::now)
     private val services = ServiceClient(clientFactory, clock = clock::now)
     private val pending = PendingReservations()
-    private val slotOwner = SlotOwnerService(loop, clock, pending)
+    private val slotOwner = SlotOwnerService(loop, clock, pending, counters)
     private val gossip = GossipExchange(loop, clock, systems)
-    private val configuration = ConfigurationIntake(loop, clock, systems, ::handle)
+    private val configuration = ConfigurationIntake(loop, clock, systems, state.parser, ::handle)
     private val supervisor = BackendSupervisor(loop, clock, engine, services, pending, counters)
     private val reporter = StreamReporter(loop, transport, slotOwner)
     private val ended = CompletableDeferred<DrainState.Done>()
@@ -200,6 +201,7 @@
                 systems.tick(now) to systems.interval(now)
             }
             events.forEach { handle(it) }
+            sendUrgent()
             delay(interval)
         }
     }
@@ -215,10 +217,18 @@
     }
 
     private suspend fun send(round: GossipRound) {
-        round.targets.forEach { target -> scope.launch { transport.request(target, round.message, GOSSIP_TIMEOUT) } }
-        gossip.urgentRound()?.let { urgent ->
-            urgent.targets.forEach { scope.launch { transport.request(it, urgent.message, GOSSIP_TIMEOUT) } }
-        }
+        round.targets.forEach { target -> scope.launch { sendTo(target, round) } }
+    }
+
+    /** Sends crash reports to every peer at once, before the request runs on another engine elsewhere. */
+    private suspend fun sendUrgent() {
+        gossip.urgentRound()?.let { send(it) }
+    }
+
+    private suspend fun sendTo(target: InstanceAddress, round: GossipRound) {
+        val error = transport.request(target, round.message, GOSSIP_TIMEOUT).fold({ null }, { it })
+        if (error !is PeerError.Unreachable) return
+        loop.run { instances.markUnreachable(target) }.forEach { handle(ControlEvent.Membership(it)) }
     }
 
     private suspend fun take(update: ConfigurationUpdate) {
@@ -251,10 +261,18 @@
     private suspend fun handleRevision(event: RevisionEvent) {
         when (event) {
             is RevisionEvent.BecameActive -> counters.revision(CountedRevisionEvent.ACTIVATED)
+
             is RevisionEvent.Rejected -> counters.revision(CountedRevisionEvent.INVALID)
+
             is RevisionEvent.OlderRefused -> counters.revision(CountedRevisionEvent.STALE)
+
             is RevisionEvent.Conflict -> counters.revision(CountedRevisionEvent.CONFLICT)
-            is RevisionEvent.MarksChanged -> sendToEveryPeer()
+
+            is RevisionEvent.MarksChanged -> {
+                if (event.marks.candidate != null) counters.revision(CountedRevisionEvent.CANDIDATE)
+                sendToEveryPeer()
+            }
+
             is RevisionEvent.FetchWanted -> scope.launch { configuration.fetch(event.peer, event.mark, ::fetch) }
         }
     }
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/DaemonOperatorView.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/DaemonOperatorView.kt
@@ -32,6 +32,7 @@
 import org.arbutusnotch.daemon.operator.StatusReply
 import org.arbutusnotch.daemon.telemetry.CounterValue
 import org.arbutusnotch.daemon.telemetry.Counters
+import org.arbutusnotch.daemon.telemetry.QuarantineEvent
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -86,7 +87,11 @@
         }
     }
 
-    override suspend fun clearQuarantine(): Int = loop.run { quarantine.clear(clock.now()) }
+    override suspend fun clearQuarantine(): Int {
+        val cleared = loop.run { quarantine.clear(clock.now()) }
+        repeat(cleared) { counters.quarantine(QuarantineEvent.CLEARED) }
+        return cleared
+    }
 
     override suspend fun counters(): List<CounterValue> = counters.snapshot()
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/ConfigurationIntake.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/ConfigurationIntake.kt
@@ -13,10 +13,12 @@
     private val loop: ControlLoop,
     private val clock: Clock,
     private val systems: TickSystems,
+    private val parser: ConfigurationParser,
     private val events: suspend (ControlEvent) -> Unit,
 ) {
     /** Offers [bytes], which were read from the platform or fetched from a peer. */
     suspend fun offer(bytes: ByteArray) {
+        parser.parse(bytes)
         val changes = loop.run {
             val now = clock.now()
             revisions.offer(bytes, now).flatMap { systems.apply(it, now) }
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/ControlState.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/ControlState.kt
@@ -3,9 +3,7 @@
  */
 package org.arbutusnotch.daemon.control
 
-import com.github.michaelbull.result.mapError
 import org.arbutusnotch.core.configuration.CallerDirectory
-import org.arbutusnotch.core.configuration.ConfigurationFault
 import org.arbutusnotch.core.configuration.RevisionTable
 import org.arbutusnotch.core.id.AttemptId
 import org.arbutusnotch.core.id.Incarnation
@@ -28,7 +26,6 @@
 import org.arbutusnotch.core.straggler.ServerTable
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.settings.DaemonSettings
-import org.arbutusnotch.settings.DeploymentConfigurationReader
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -43,10 +40,8 @@
         "routing policy ${settings.routing.policy.code} has no implementation"
     }
     val instances = InstanceTable(own = ownRow(), seeds = settings.seed.peers)
-    val revisions = RevisionTable { bytes ->
-        DeploymentConfigurationReader.read(bytes, CONFIGURATION_NAME)
-            .mapError { errors -> ConfigurationFault(errors.map { it.toString() }) }
-    }
+    val parser = ConfigurationParser()
+    val revisions = RevisionTable(parse = parser::parse)
     val permits = PermitTable(
         self = self,
         capacity = settings.limits.permitRecords,
@@ -105,8 +100,6 @@
     )
 
     private companion object {
-        const val CONFIGURATION_NAME = "configuration"
-
         /** Largest accepted difference between the clocks of an issuer and of the entry that returned its prefix. */
         val CLOCK_DIFFERENCE: Duration = 30.seconds
     }
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/SlotOwnerService.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/SlotOwnerService.kt
@@ -5,12 +5,15 @@
 
 import kotlinx.coroutines.withTimeoutOrNull
 import org.arbutusnotch.core.message.ReleaseRequest
+import org.arbutusnotch.core.message.ReservationKind
 import org.arbutusnotch.core.message.ReservationRefusal
 import org.arbutusnotch.core.message.ReserveReply
 import org.arbutusnotch.core.message.ReserveRequest
 import org.arbutusnotch.core.message.StreamReport
 import org.arbutusnotch.core.message.StreamReportReply
 import org.arbutusnotch.core.reservation.ReservationDecision
+import org.arbutusnotch.daemon.telemetry.Counters
+import org.arbutusnotch.daemon.telemetry.ReservationEvent
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -19,6 +22,7 @@
     private val loop: ControlLoop,
     private val clock: Clock,
     private val pending: PendingReservations,
+    private val counters: Counters,
 ) {
     /** Decides about [request]; a queued one is answered when it is decided, at its start deadline at the latest. */
     suspend fun reserve(request: ReserveRequest): ReserveReply {
@@ -27,10 +31,20 @@
             lastWork = now
             reservations.reserve(request, now)
         }
+        count(request.kind, decision)
         if (decision !is ReservationDecision.Queued) return checkNotNull(decision.toReply())
         return awaitDecision(decision, request)
     }
 
+    private fun count(kind: ReservationKind, decision: ReservationDecision) {
+        val event = when (decision) {
+            is ReservationDecision.Granted -> ReservationEvent.GRANTED
+            is ReservationDecision.Queued -> ReservationEvent.QUEUED
+            is ReservationDecision.Refused -> ReservationEvent.REFUSED
+        }
+        counters.reservation(kind, event)
+    }
+
     private suspend fun awaitDecision(decision: ReservationDecision.Queued, request: ReserveRequest): ReserveReply {
         val waiting = pending.await(decision)
         val wait = request.startDeadline - clock.now() + DECISION_MARGIN
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionRun.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionRun.kt
@@ -73,12 +73,14 @@
         val decision = entry.loop.run {
             quarantine.beginRun(work.digest, startedAt, instances.live().map { it.address })
         }
-        if (decision is RunDecision.Refused) return Leg.Refused(RefusalReason.QUARANTINED, decision.retryAt)
+        if (decision is RunDecision.Refused) {
+            entry.counters.quarantine(QuarantineEvent.REFUSED)
+            return Leg.Refused(RefusalReason.QUARANTINED, decision.retryAt)
+        }
         var completed = false
         try {
-            val leg = runLeg()
+            val leg = runLeg(exclusive = decision is RunDecision.Exclusive)
             completed = leg is Leg.Complete
-            if (leg is Leg.Failed) reportCrash(leg)
             return leg
         } finally {
             // Must have ended before the next leg begins, because only one run is allowed after a crash.
@@ -88,13 +90,16 @@
         }
     }
 
-    private suspend fun runLeg(): Leg {
+    private suspend fun runLeg(exclusive: Boolean): Leg {
         val now = entry.clock.now()
         val firstTokenDeadline = if (delivered.count == 0 && tried.isEmpty()) work.firstTokenDeadline else work.deadline
         val placement = entry.loop.run { router.placeCompletion(placementRequest(firstTokenDeadline), now) }
         return when (placement) {
             is Placement.Refused -> Leg.Refused(placement.reason, placement.retryAt)
-            is Placement.Placed -> runPlaced(placement, firstTokenDeadline)
+
+            // Only one engine at a time may run a request that was running on an engine when it crashed.
+            is Placement.Placed ->
+                runPlaced(if (exclusive) placement.copy(secondPrefillAt = null) else placement, firstTokenDeadline)
         }
     }
 
@@ -137,7 +142,10 @@
 
                 is DecodeOutcome.Moved -> Leg.Failed(outcome.server, error = null, resume = outcome.reason)
 
-                is DecodeOutcome.Failed -> Leg.Failed(outcome.server, outcome.error)
+                is DecodeOutcome.Failed -> {
+                    entry.reportIfCrashed(work.digest, outcome.server, outcome.error)
+                    Leg.Failed(outcome.server, outcome.error)
+                }
             }
         } finally {
             entry.release(prefill.server, prefill.attempt)
@@ -158,6 +166,7 @@
                 priority = work.caller.priority,
                 work = work.maxTokens - delivered.count,
                 startDeadline = maxOf(startDeadline, entry.clock.now() + SHORTEST_START_WAIT),
+                lastResort = candidate.lastResort,
             )
             when (val outcome = entry.reservations.reserve(request)) {
                 is ReservationOutcome.Refused -> retryAt = listOfNotNull(retryAt, outcome.retryAt).min()
@@ -191,16 +200,6 @@
         }
     }
 
-    /** Checks whether the engine of a broken stream crashed, and reports the request that was running on it. */
-    private suspend fun reportCrash(failed: Leg.Failed) {
-        if (failed.error !is BackendError.BrokenAfterWrite) return
-        val probe = entry.engine.load(failed.server, entry.clock.now() + PROBE_TIMEOUT)
-        val crashed = probe.fold(success = { false }, failure = { it is BackendError.NotConnected })
-        if (!crashed) return
-        entry.loop.run { quarantine.report(work.digest, failed.server, entry.clock.now()) }
-        entry.counters.quarantine(QuarantineEvent.CRASH_RECORDED)
-    }
-
     private fun placementRequest(firstTokenDeadline: Timestamp) = CompletionRequest(
         model = work.model,
         prefixDigests = work.prefixDigests,
@@ -236,7 +235,6 @@
 
         /** Servers that a request may leave; a third attempt is the last one that the retry rules allow. */
         const val MOST_MOVES = 2
-        val PROBE_TIMEOUT: Duration = 300.milliseconds
 
         fun mayHaveRun(error: BackendError): Boolean = error.mayHaveBeenReceived && error !is BackendError.RefusedFull
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/DecodeLeg.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/DecodeLeg.kt
@@ -149,10 +149,12 @@
         val interval = now - lastToken
         lastToken = now
         watch = watch.received(now)
-        // The time to the first token includes transfer and prefill, so it says nothing about the speed of decoding.
+        // The time to the first token is mostly that of the transfer.
         if (firstOfLeg) {
             firstOfLeg = false
             running.add(0, Duration.ZERO, now)
+            val transfer = maxOf(interval - reserved.candidate.perToken, Duration.ZERO)
+            entry.loop.run { router.observeTransfer(work.promptTokens, transfer, now) }
             return
         }
         running.add(1, interval, now)
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryContext.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryContext.kt
@@ -3,18 +3,22 @@
  */
 package org.arbutusnotch.daemon.entry
 
+import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.arbutusnotch.core.id.AttemptId
 import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.ContentDigest
 import org.arbutusnotch.core.id.InstanceId
+import org.arbutusnotch.daemon.backend.BackendError
 import org.arbutusnotch.daemon.backend.EngineClient
 import org.arbutusnotch.daemon.backend.ServiceClient
 import org.arbutusnotch.daemon.control.Clock
 import org.arbutusnotch.daemon.control.ControlLoop
 import org.arbutusnotch.daemon.control.ControlState
 import org.arbutusnotch.daemon.telemetry.Counters
+import org.arbutusnotch.daemon.telemetry.QuarantineEvent
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -48,12 +52,26 @@
         }
     }
 
+    /**
+     * Reports the request [digest] as running on [server] when it crashed, if [error] broke its stream and the server
+     * does not answer any more. Both engines of a late prefill are checked, since both may have crashed.
+     */
+    suspend fun reportIfCrashed(digest: ContentDigest, server: BackendServerId, error: BackendError) {
+        if (error !is BackendError.BrokenAfterWrite) return
+        val probe = engine.load(server, clock.now() + PROBE_TIMEOUT)
+        val answered = probe.fold(success = { true }, failure = { it is BackendError.FailedStatus })
+        if (answered) return
+        loop.run { quarantine.report(digest, server, clock.now()) }
+        counters.quarantine(QuarantineEvent.CRASH_RECORDED)
+    }
+
     /** Runs [block] on the control thread without waiting for it, also when the request was cancelled. */
     fun onControl(block: ControlState.() -> Unit) {
         background.launch { loop.run(block) }
     }
 
     private companion object {
+        val PROBE_TIMEOUT: Duration = 300.milliseconds
         val CANCEL_TIMEOUT: Duration = 2.seconds
         val CANCEL_RETRY_DELAY: Duration = 200.milliseconds
         const val CANCEL_ATTEMPTS = 3
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PermitGateway.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PermitGateway.kt
@@ -11,10 +11,10 @@
 import org.arbutusnotch.core.message.PermitClose
 import org.arbutusnotch.core.message.PermitReply
 import org.arbutusnotch.core.message.PermitRequest
-import org.arbutusnotch.core.message.PermitResult
+import org.arbutusnotch.core.outcome.RefusalReason
+import org.arbutusnotch.core.permit.PermitAttempt
 import org.arbutusnotch.core.permit.PermitDecision
-import org.arbutusnotch.core.permit.PermitObservation
-import org.arbutusnotch.core.permit.permitOutcome
+import org.arbutusnotch.core.permit.returnOfLatePermit
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.core.token.IdempotencyToken
 import org.arbutusnotch.daemon.control.Clock
@@ -32,34 +32,35 @@
     private val background: CoroutineScope,
 ) {
     /**
-     * Asks the issuer of [token] until it decides or [waitDeadline] passes; a request that another holder runs is
-     * answered by that run. A returned [PermitDecision.Run] must end with [close].
+     * Asks the issuer of [token] for the permit of [attempt] until it decides or [waitDeadline] passes; a request that
+     * another holder runs is answered by that run. After [PermitDecision.Run] the attempt must end, and its message to
+     * the issuer be sent by [close].
      */
-    suspend fun acquire(token: IdempotencyToken, request: PermitRequest, waitDeadline: Timestamp): PermitDecision {
+    suspend fun acquire(token: IdempotencyToken, attempt: PermitAttempt, waitDeadline: Timestamp): PermitDecision {
         while (true) {
-            val observation = ask(token.prefix.issuer, request)
-            val decision = permitOutcome(observation, retryAt = clock.now() + RETRY_DELAY)
+            val reply = ask(token.prefix.issuer, attempt.request)
+            val retryAt = clock.now() + RETRY_DELAY
+            val step = if (reply == null) attempt.issuerUnreachable(retryAt) else attempt.replied(reply, retryAt)
+            val decision = checkNotNull(step.decision) { "attempt ${attempt.request.attempt} ended before its permit" }
             if (decision !is PermitDecision.AwaitRunning) return decision
             if (clock.now() + POLL_INTERVAL >= waitDeadline) {
-                return permitOutcome(PermitObservation.WaitEnded, retryAt = decision.deadline)
+                return checkNotNull(attempt.fail(RefusalReason.DEADLINE_EXCEEDED, decision.deadline).decision)
             }
             delay(POLL_INTERVAL)
         }
     }
 
-    /** Reports to the issuer how [permit] ended, without waiting for it; the report is repeated a few times. */
-    fun close(token: IdempotencyToken, request: PermitRequest, permit: Long, result: PermitResult) {
-        background.launch { send(token.prefix.issuer, PermitClose(request.key, request.attempt, permit, result)) }
+    /** Sends [message] to the issuer of [token], without waiting for it; it is repeated a few times. */
+    fun close(token: IdempotencyToken, message: PermitClose) {
+        background.launch { send(token.prefix.issuer, message) }
     }
 
-    private suspend fun ask(issuer: InstanceId, request: PermitRequest): PermitObservation {
-        if (issuer.address == loop.run { self.address }) {
-            return PermitObservation.Replied(loop.run { permits.request(request, clock.now()) })
-        }
-        val reply = transport.request(issuer.address, request, ISSUER_TIMEOUT).fold({ it }, { null })
-        if (reply is PermitReply) return PermitObservation.Replied(reply)
-        returnLatePermit(issuer, request)
-        return PermitObservation.IssuerUnreachable
+    /** Returns the issuer's reply; null when it is unreachable or does not reply in time. */
+    private suspend fun ask(issuer: InstanceId, request: PermitRequest): PermitReply? {
+        if (issuer.address == loop.run { self.address }) return loop.run { permits.request(request, clock.now()) }
+        val reply = transport.request(issuer.address, request, ISSUER_TIMEOUT).fold({ it }, { null }) as? PermitReply
+        if (reply == null) returnLatePermit(issuer, request)
+        return reply
     }
 
     /**
@@ -70,9 +71,7 @@
         background.launch {
             delay(RETRY_DELAY)
             val reply = transport.request(issuer.address, request, ISSUER_TIMEOUT).fold({ it }, { null })
-            if (reply is PermitReply.Granted) {
-                send(issuer, PermitClose(request.key, request.attempt, reply.permit, PermitResult.HandedBack))
-            }
+            (reply as? PermitReply)?.let { returnOfLatePermit(request, it) }?.let { send(issuer, it) }
         }
     }
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PlainCallRun.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PlainCallRun.kt
@@ -17,10 +17,11 @@
 import org.arbutusnotch.core.message.TokenKey
 import org.arbutusnotch.core.outcome.RefusalReason
 import org.arbutusnotch.core.outcome.RequestOutcome
+import org.arbutusnotch.core.permit.PermitAttempt
 import org.arbutusnotch.core.permit.PermitDecision
 import org.arbutusnotch.core.permit.PermitObservation
+import org.arbutusnotch.core.permit.PermitStep
 import org.arbutusnotch.core.permit.permitOutcome
-import org.arbutusnotch.core.permit.refusalBeforeWrite
 import org.arbutusnotch.core.retry.FailedAttempt
 import org.arbutusnotch.core.retry.RetryDecision
 import org.arbutusnotch.core.routing.ServiceCandidate
@@ -71,7 +72,7 @@
         return if (work.operation.idempotent) runIdempotent() else runWithPermit()
     }
 
-    private suspend fun runIdempotent(): PlainCallOutcome = when (val end = execute(mayWrite = { null })) {
+    private suspend fun runIdempotent(): PlainCallOutcome = when (val end = execute(UnguardedWrite)) {
         is Execution.Answered -> PlainCallOutcome.Answered(end.answer)
         is Execution.NotRun -> PlainCallOutcome.Refused(RequestOutcome.NotRun(end.reason, end.retryAt))
         is Execution.Unknown -> PlainCallOutcome.Refused(RequestOutcome.Unknown(end.reason, end.retryAt))
@@ -88,31 +89,59 @@
             attempt = entry.loop.run { nextAttempt() },
             permitDeadline = work.deadline,
         )
-        val decision = entry.permits.acquire(token, request, work.deadline)
-        return if (decision is PermitDecision.Run) runPermitted(token, request, decision) else decided(decision)
+        val attempt = PermitAttempt(request)
+        val decision = entry.permits.acquire(token, attempt, work.deadline)
+        countDecision(decision)
+        return if (decision is PermitDecision.Run) runPermitted(token, attempt) else decided(decision)
     }
 
-    private suspend fun runPermitted(
-        token: IdempotencyToken,
-        request: PermitRequest,
-        permit: PermitDecision.Run,
-    ): PlainCallOutcome {
-        entry.counters.permit(PermitEvent.GRANTED)
-        val end = execute { refusalNow(permit.deadline) }
-        val (result, observation) = when (end) {
-            is Execution.Answered ->
-                PermitResult.Answered(end.answer) to PermitObservation.AnswerArrived(end.answer)
+    private suspend fun runPermitted(token: IdempotencyToken, attempt: PermitAttempt): PlainCallOutcome {
+        val guard = PermittedWrite(attempt)
+        val end = execute(guard)
+        val step = guard.refused ?: when (end) {
+            is Execution.Answered -> attempt.answered(end.answer)
+            is Execution.NotRun -> attempt.fail(end.reason, end.retryAt)
+            is Execution.Unknown -> attempt.fail(end.reason, end.retryAt)
+        }
+        step.close?.let { message ->
+            countEnd(message.result)
+            entry.permits.close(token, message)
+        }
+        return decided(checkNotNull(step.decision) { "attempt ${attempt.request.attempt} ended twice" })
+    }
 
-            is Execution.NotRun -> PermitResult.HandedBack to PermitObservation.PermitReturned(end.reason)
+    private fun countDecision(decision: PermitDecision) {
+        val event = when (decision) {
+            is PermitDecision.Run -> PermitEvent.GRANTED
+            is PermitDecision.SendAnswer -> PermitEvent.ANSWER_REPEATED
+            is PermitDecision.Refuse -> PermitEvent.DENIED
+            is PermitDecision.AwaitRunning -> PermitEvent.WAITED
+        }
+        entry.counters.permit(event)
+    }
 
-            is Execution.Unknown -> PermitResult.Unknown to PermitObservation.WriteBegan(end.reason)
+    private fun countEnd(result: PermitResult) {
+        val event = when (result) {
+            is PermitResult.HandedBack -> PermitEvent.RETURNED
+            is PermitResult.Answered -> PermitEvent.ANSWERED
+            is PermitResult.Unknown -> PermitEvent.UNKNOWN
         }
-        entry.permits.close(token, request, permit.permit, result)
-        return decided(permitOutcome(observation, end.retryAt))
+        entry.counters.permit(event)
     }
 
-    private suspend fun refusalNow(deadline: Timestamp): RefusalReason? = entry.loop.run {
-        refusalBeforeWrite(entry.clock.now(), deadline, lastTick, TICK_GAP_LIMIT)
+    /** Guards the writes of a call that needs a permit. */
+    private inner class PermittedWrite(private val attempt: PermitAttempt) : WriteGuard {
+        /** The end of the attempt when it had to return its permit before the write; null otherwise. */
+        var refused: PermitStep? = null
+            private set
+
+        override suspend fun refusal(): RefusalReason? {
+            val now = entry.clock.now()
+            refused = entry.loop.run { attempt.beginWrite(now, lastTick, TICK_GAP_LIMIT, retryAt = now + RETRY_DELAY) }
+            return refused?.let { RefusalReason.DEADLINE_EXCEEDED }
+        }
+
+        override fun notReceived() = attempt.notReceived()
     }
 
     private fun decided(decision: PermitDecision): PlainCallOutcome = when (decision) {
@@ -124,8 +153,8 @@
             error("permit decision $decision does not end a request")
     }
 
-    /** Sends the call until it is answered, cannot be repeated, or [mayWrite] returns a reason not to write. */
-    private suspend fun execute(mayWrite: suspend () -> RefusalReason?): Execution {
+    /** Sends the call until it is answered, cannot be repeated, or [guard] returns a reason not to write. */
+    private suspend fun execute(guard: WriteGuard): Execution {
         var started = false
         while (true) {
             val placement = place()
@@ -133,7 +162,7 @@
             val reserved = reserve((placement as ServicePlacement.Placed).candidates)
             if (reserved is Reserved.Refused) return ended(started, RefusalReason.CAPACITY, reserved.retryAt)
             val accepted = reserved as Reserved.Accepted
-            val refusal = mayWrite()
+            val refusal = guard.refusal()
             if (refusal != null) {
                 entry.reservations.release(accepted.candidate.server, accepted.resource.attempt, accepted.outcome)
                 return ended(started, refusal, entry.clock.now() + RETRY_DELAY)
@@ -141,7 +170,7 @@
             val sent = send(accepted)
             if (sent is Sent.Answer) return Execution.Answered(sent.answer)
             val error = (sent as Sent.Failed).error
-            if (mayHaveRun(error)) started = true
+            if (mayHaveRun(error)) started = true else guard.notReceived()
             afterFailure(accepted.candidate.server, error, started)?.let { return it }
         }
     }
@@ -167,6 +196,7 @@
                 priority = work.caller.priority,
                 work = 1,
                 startDeadline = work.deadline - candidate.predictedCall,
+                lastResort = candidate.lastResort,
             )
             when (val outcome = entry.reservations.reserve(resource)) {
                 is ReservationOutcome.Refused -> retryAt = listOfNotNull(retryAt, outcome.retryAt).min()
@@ -246,6 +276,21 @@
     private fun ended(started: Boolean, reason: RefusalReason, retryAt: Timestamp): Execution =
         if (started) Execution.Unknown(reason, retryAt) else Execution.NotRun(reason, retryAt)
 
+    /** Decides, immediately before each write, whether the call may be written. */
+    private interface WriteGuard {
+        /** Returns why nothing may be written now, or null. */
+        suspend fun refusal(): RefusalReason?
+
+        /** Takes that the server cannot have run the call that was allowed last. */
+        fun notReceived()
+    }
+
+    private object UnguardedWrite : WriteGuard {
+        override suspend fun refusal(): RefusalReason? = null
+
+        override fun notReceived() = Unit
+    }
+
     private sealed class Execution {
         abstract val retryAt: Timestamp?
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PrefillRace.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PrefillRace.kt
@@ -121,6 +121,7 @@
                 work.firstTokenDeadline - candidate.predictedPrefill,
                 entry.clock.now() + SHORTEST_START_WAIT,
             ),
+            lastResort = candidate.lastResort,
         )
         return when (val outcome = entry.reservations.reserve(request)) {
             is ReservationOutcome.Refused -> Reserved.Refused(outcome.retryAt)
@@ -174,6 +175,7 @@
         },
         failure = { error ->
             entry.release(candidate.server, attempt)
+            entry.reportIfCrashed(work.digest, candidate.server, error)
             PrefillOutcome.Failed(candidate.server, error)
         },
     )
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/ReservationGateway.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/ReservationGateway.kt
@@ -35,6 +35,7 @@
     val priority: Int,
     val work: Int,
     val startDeadline: Timestamp,
+    val lastResort: Boolean,
 )
 
 /** Describes whether an attempt may go to a server. */
@@ -76,6 +77,7 @@
             work = request.work,
             startDeadline = request.startDeadline,
             revision = target.revision,
+            lastResort = request.lastResort,
         )
         val reply = if (owner == target.self) local.reserve(message) else ask(owner, message)
         return outcome(owner, reply)
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/telemetry/TelemetryEvents.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/telemetry/TelemetryEvents.kt
@@ -31,15 +31,11 @@
     GRANTED("granted"),
     QUEUED("queued"),
     REFUSED("refused"),
-    RELEASED("released"),
-    EXPIRED("expired"),
-    ADOPTED("adopted"),
 }
 
 /** Names what happened to a quarantined request digest. */
 public enum class QuarantineEvent(public val code: String) {
     CRASH_RECORDED("crash_recorded"),
-    QUARANTINED("quarantined"),
     REFUSED("refused"),
     CLEARED("cleared"),
 }
