Size the large fleet of the suspicion test by the whole gossip message

The test still took the number of whole rows for a full message. Change: twice as many instances as rows and heartbeats of one message; the checks are the same. Conclusion: the check is as strict as before.

--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/InstanceTableTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/InstanceTableTest.kt
@@ -41,7 +41,8 @@
 
     @Test
     fun `an instance of a large fleet has longer until its heartbeat must rise`() {
-        table.merge((2..(2 * InstanceTable.ROW_LIMIT)).map { rowOf(it) }, start)
+        val message = InstanceTable.ROW_LIMIT + InstanceTable.HEARTBEAT_LIMIT
+        table.merge((2..(2 * message)).map { rowOf(it) }, start)
         table.merge(listOf(rowOf(2, heartbeat = 2)), start)
         tickUntil(2_900)
         expectThat(table.find(addressOf(2))?.reachable).isEqualTo(true)
