--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/routing/Router.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/routing/Router.kt
@@ -96,7 +96,7 @@
 
     /** A probe goes to a server that is known to be slow; its time is compared with that of the next candidate. */
     private fun secondPrefillAt(prefill: List<PrefillCandidate>, start: Timestamp): Timestamp? {
-        if (prefill.size < 2) return null
+        if (prefill.size < 2 || policy != RoutingPolicy.Chosen) return null
         val first = prefill.firstOrNull { !it.probe } ?: prefill.first()
         return start + PrefillWatch.lateAfter(first.predictedWait + first.predictedPrefill)
     }
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/DecodeLeg.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/DecodeLeg.kt
@@ -18,6 +18,7 @@
 import org.arbutusnotch.core.message.ReservationKind
 import org.arbutusnotch.core.routing.DecodeCandidate
 import org.arbutusnotch.core.routing.ResumeReason
+import org.arbutusnotch.core.routing.RoutingPolicy
 import org.arbutusnotch.core.routing.StreamAction
 import org.arbutusnotch.core.routing.StreamWatch
 import org.arbutusnotch.core.time.Timestamp
@@ -176,7 +177,9 @@
     private suspend fun checkProgress(): DecodeOutcome? {
         val now = entry.clock.now()
         if (now >= work.deadline) return DecodeOutcome.Failed(server, BackendError.TimedOut(mayHaveBeenReceived = true))
-        val excluded = entry.loop.run { servers.server(server, now)?.excluded == true }
+        val excluded = entry.loop.run {
+            policy == RoutingPolicy.Chosen && servers.server(server, now)?.excluded == true
+        }
         val action = watch.decide(
             now = now,
             serverExcluded = excluded,
