--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PlainCallRun.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PlainCallRun.kt
@@ -115,7 +115,7 @@
             is PermitDecision.Run -> PermitEvent.GRANTED
             is PermitDecision.SendAnswer -> PermitEvent.ANSWER_REPEATED
             is PermitDecision.Refuse -> PermitEvent.DENIED
-            is PermitDecision.AwaitRunning -> PermitEvent.WAITED
+            is PermitDecision.AwaitRunning -> error("the wait for a running permit has not ended")
         }
         entry.counters.permit(event)
     }
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/telemetry/TelemetryEvents.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/telemetry/TelemetryEvents.kt
@@ -18,7 +18,6 @@
 /** Names what happened to an execution permit. */
 public enum class PermitEvent(public val code: String) {
     GRANTED("granted"),
-    WAITED("waited"),
     ANSWER_REPEATED("answer_repeated"),
     DENIED("denied"),
     RETURNED("returned"),
