--- /dev/null
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -0,0 +1,202 @@
+/*
+ * Which server of a pool gets a request.
+ */
+package org.arbutusnotch.core.dispatch
+
+import org.arbutusnotch.core.forwarding.EngineProfile
+import org.arbutusnotch.core.forwarding.ServerStage
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.FailureDomainId
+import org.arbutusnotch.core.message.DispatchRelease
+import org.arbutusnotch.core.message.DispatchWork
+import org.arbutusnotch.core.message.PlacePart
+import org.arbutusnotch.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A place that a request would take. */
+internal data class PlannedPlace(
+    val ledger: ServerLedger,
+    val tokens: Int = 0,
+    val readsPrompt: Boolean = false,
+    val tokensAhead: Int = 0,
+)
+
+/** The places of one request. */
+internal data class PlacedRequest(val run: PlannedPlace, val prefill: PlannedPlace? = null)
+
+/** Selects places for the requests of one kind of pool. */
+internal sealed class PlaceSelection(protected val ledgers: Map<BackendServerId, ServerLedger>) {
+    /** Returns the places for [entry], or null while it must wait. */
+    abstract fun place(entry: WaitingRequest, now: Timestamp): PlacedRequest?
+
+    /** Learns from a completed use of [place]. */
+    abstract fun observe(ledger: ServerLedger, place: UsedPlace, release: DispatchRelease, now: Timestamp)
+
+    /** Returns the time that the request would need at least. */
+    abstract fun leastTime(entry: WaitingRequest, now: Timestamp): Duration
+
+    /** Returns the time that the request usually needs until its answer or first event. */
+    abstract fun usualTime(entry: WaitingRequest, now: Timestamp): Duration
+
+    protected fun medianPerUnit(stages: Set<ServerStage>): Duration? {
+        val known = ledgers.values.filter { it.server.stage in stages }.mapNotNull { it.speed.perUnit }.sorted()
+        return known.getOrNull(known.size / 2)
+    }
+
+    protected fun admission(ledger: ServerLedger, domain: FailureDomainId, now: Timestamp): Admission {
+        val shares = ledgers.values.map { it.health.failureShare(domain) }.sorted()
+        val usual = shares.getOrElse((shares.size - 1) / 2) { 0.0 }
+        return ledger.health.admission(domain, usual, now)
+    }
+
+    protected fun mayTake(ledger: ServerLedger, entry: WaitingRequest, now: Timestamp): Boolean {
+        if (ledger.server.id in entry.excluded) return false
+        return when (admission(ledger, entry.domain, now)) {
+            Admission.FULL -> true
+            Admission.PROBE -> ledger.places.isEmpty()
+            Admission.NONE -> false
+        }
+    }
+}
+
+/** Places plain calls: on the server that is expected to answer first, one call beyond its slots at the most. */
+internal class CallPlaceSelection(ledgers: Map<BackendServerId, ServerLedger>) : PlaceSelection(ledgers) {
+    override fun place(entry: WaitingRequest, now: Timestamp): PlacedRequest? {
+        val usual = usualCall()
+        return ledgers.values
+            .filter { it.places.size < it.server.slots + TRANSIT_CALLS && mayTake(it, entry, now) }
+            .filter { !isStalled(it, usual, now) }
+            .minByOrNull { cost(it, entry, usual, now) }
+            ?.let { PlacedRequest(PlannedPlace(it)) }
+    }
+
+    private fun cost(ledger: ServerLedger, entry: WaitingRequest, usual: Duration, now: Timestamp): Double {
+        val occupied = ledger.places.size.toDouble() / ledger.server.slots
+        val distance = if (ledger.server.failureDomain == entry.domain) 0.0 else DISTANCE_MILLIS
+        return ledger.timePerUnit(usual, now).inWholeMicroseconds / MICROS_PER_MILLI * (1 + occupied) + distance
+    }
+
+    /** Whether the oldest call runs for so long that the server has probably stopped to answer. */
+    private fun isStalled(ledger: ServerLedger, usual: Duration, now: Timestamp): Boolean =
+        ledger.places.isNotEmpty() && ledger.oldestAge(PlacePart.RUN, now) > usual * STALL_FACTOR + STALL_EXTRA
+
+    override fun observe(ledger: ServerLedger, place: UsedPlace, release: DispatchRelease, now: Timestamp) {
+        val usualElapsed = release.elapsedMillis.milliseconds / ledger.slowdown(now)
+        ledger.speed.observe(units = 1.0, elapsed = usualElapsed, count = 1, now = now)
+    }
+
+    override fun leastTime(entry: WaitingRequest, now: Timestamp): Duration = usualCall() * LEAST_SHARE
+
+    override fun usualTime(entry: WaitingRequest, now: Timestamp): Duration = usualCall()
+
+    private fun usualCall(): Duration = medianPerUnit(setOf(ServerStage.WHOLE)) ?: UNKNOWN_CALL
+
+    private companion object {
+        /** Calls beyond the slots that are on their way while a slot becomes free. */
+        const val TRANSIT_CALLS = 1
+
+        /** Time that a call to another failure domain takes longer, in milliseconds. */
+        const val DISTANCE_MILLIS = 3.0
+        const val MICROS_PER_MILLI = 1_000.0
+
+        /** Time assumed for a call while none has completed. */
+        val UNKNOWN_CALL = 30.milliseconds
+        const val LEAST_SHARE = 0.5
+        const val STALL_FACTOR = 6
+        val STALL_EXTRA = 100.milliseconds
+    }
+}
+
+/**
+ * Places generations: a prefill server that reads the prompt soonest, and a decode server with memory for the whole
+ * request. The decode memory is reserved first, because a prompt that was read is kept for less than a second.
+ */
+internal class GenerationPlaceSelection(ledgers: Map<BackendServerId, ServerLedger>, private val engine: EngineProfile) :
+    PlaceSelection(ledgers) {
+    override fun place(entry: WaitingRequest, now: Timestamp): PlacedRequest? {
+        val work = entry.work as? DispatchWork.Generation ?: return null
+        val decode = ledgers.values
+            .filter { it.server.stage != ServerStage.PREFILL && hasRoom(it, work) && mayTake(it, entry, now) }
+        val prefill = ledgers.values
+            .filter { it.server.stage == ServerStage.PREFILL && mayTake(it, entry, now) && mayRead(it) }
+            .minByOrNull { readingTime(it, work, now) }
+        val whole = decode.filter { it.server.stage == ServerStage.WHOLE }
+        return if (prefill != null) {
+            val run = decode.minByOrNull { load(it, entry, now) } ?: return null
+            withPrefill(run, prefill, work)
+        } else {
+            val direct = whole.ifEmpty { decode.takeIf { noPrefillServer(entry, now) }.orEmpty() }
+            direct.filter { it.ownPrompts < DIRECT_PROMPTS }.minByOrNull { load(it, entry, now) }
+                ?.let { PlacedRequest(PlannedPlace(it, tokens = memory(work), readsPrompt = true)) }
+        }
+    }
+
+    private fun withPrefill(run: ServerLedger, prefill: ServerLedger, work: DispatchWork.Generation) = PlacedRequest(
+        run = PlannedPlace(run, tokens = memory(work)),
+        prefill = PlannedPlace(prefill, tokens = work.promptTokens, tokensAhead = prefill.promptTokensAhead),
+    )
+
+    private fun noPrefillServer(entry: WaitingRequest, now: Timestamp): Boolean =
+        ledgers.values.none { it.server.stage == ServerStage.PREFILL && mayTake(it, entry, now) }
+
+    private fun memory(work: DispatchWork.Generation): Int = work.promptTokens + work.outputTokens
+
+    private fun hasRoom(ledger: ServerLedger, work: DispatchWork.Generation): Boolean {
+        val used = ledger.usedTokens
+        return ledger.places.size < engine.slots &&
+            (used == 0 || used + memory(work) <= engine.memoryTokens * USABLE_MEMORY)
+    }
+
+    private fun mayRead(ledger: ServerLedger): Boolean = ledger.places.size < PREFILL_DEPTH
+
+    private fun readingTime(ledger: ServerLedger, work: DispatchWork.Generation, now: Timestamp): Duration =
+        ledger.timePerUnit(usualToken(), now) * (ledger.promptTokensAhead + work.promptTokens)
+
+    private fun load(ledger: ServerLedger, entry: WaitingRequest, now: Timestamp): Double {
+        val distance = if (ledger.server.failureDomain == entry.domain) 0.0 else DISTANCE_SHARE
+        return ledger.usedTokens.toDouble() / engine.memoryTokens * ledger.slowdown(now) + distance
+    }
+
+    override fun observe(ledger: ServerLedger, place: UsedPlace, release: DispatchRelease, now: Timestamp) {
+        if (release.part != PlacePart.PREFILL) return
+        val tokens = place.tokensAhead + place.tokens + OVERHEAD_TOKENS
+        val elapsed = release.elapsedMillis.milliseconds / ledger.slowdown(now)
+        ledger.speed.observe(units = tokens.toDouble(), elapsed = elapsed, count = 1, now = now)
+    }
+
+    override fun leastTime(entry: WaitingRequest, now: Timestamp): Duration = promptTime(entry)
+
+    override fun usualTime(entry: WaitingRequest, now: Timestamp): Duration = promptTime(entry) + FIRST_EVENT
+
+    private fun promptTime(entry: WaitingRequest): Duration {
+        val work = entry.work as? DispatchWork.Generation ?: return Duration.ZERO
+        return usualToken() * (work.promptTokens + OVERHEAD_TOKENS)
+    }
+
+    private fun usualToken(): Duration = medianPerUnit(setOf(ServerStage.PREFILL)) ?: UNKNOWN_TOKEN
+
+    private companion object {
+        /** Prompts that one prefill server has at a time: one that is read and one that follows without a gap. */
+        const val PREFILL_DEPTH = 2
+
+        /** Prompts that one decode server reads by itself at a time; they delay the tokens of its other requests. */
+        const val DIRECT_PROMPTS = 1
+
+        /** Share of an engine's memory that is given out; the rest absorbs outputs that are longer than expected. */
+        const val USABLE_MEMORY = 0.95
+
+        /** Load, as a share of memory, at which a server in another failure domain is preferred. */
+        const val DISTANCE_SHARE = 0.05
+
+        /** Tokens that take as long as the fixed cost of reading a prompt. */
+        const val OVERHEAD_TOKENS = 200
+
+        /** Time per prompt token assumed while none was observed. */
+        val UNKNOWN_TOKEN = 30.microseconds
+
+        /** Time from the end of the prompt to the first event. */
+        val FIRST_EVENT = 150.milliseconds
+    }
+}
--- /dev/null
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -0,0 +1,242 @@
+/*
+ * Dispatches the requests of one pool.
+ *
+ * One instance dispatches for a pool, so that it counts the places in use exactly while the servers' own reports lag.
+ * It answers the load at a crest: requests wait here, where they can be reordered and withdrawn, and not at a server.
+ * Requests that can still be on time go first, by priority and objective. Those that are late already use what is left,
+ * because they earn little, and are refused once their caller would give up before they run. All of this is soft state:
+ * a second dispatcher of the same pool costs efficiency only, since servers have their own admission control.
+ */
+package org.arbutusnotch.core.dispatch
+
+import org.arbutusnotch.core.forwarding.BackendServer
+import org.arbutusnotch.core.forwarding.EngineProfile
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.InstanceId
+import org.arbutusnotch.core.id.TicketId
+import org.arbutusnotch.core.message.DispatchRefusal
+import org.arbutusnotch.core.message.DispatchRelease
+import org.arbutusnotch.core.message.DispatchRequest
+import org.arbutusnotch.core.message.DispatchWork
+import org.arbutusnotch.core.message.HeldPlace
+import org.arbutusnotch.core.message.HeldPlaces
+import org.arbutusnotch.core.message.PlaceOutcome
+import org.arbutusnotch.core.message.PlacePart
+import org.arbutusnotch.core.retry.RetryBudget
+import org.arbutusnotch.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Queues, places and refuses the requests of one pool. */
+public class PoolDispatcher(private val budget: RetryBudget) {
+    private val ledgers = LinkedHashMap<BackendServerId, ServerLedger>()
+    private val waiting = LinkedHashMap<TicketId, WaitingRequest>()
+    private val recentGrants = LinkedHashMap<TicketId, RecentGrant>()
+    private val throughput = GrantRate()
+    private var selection: PlaceSelection = CallPlaceSelection(ledgers)
+
+    /** Number of requests that wait. */
+    public val queueLength: Int
+        get() = waiting.size
+
+    /** Number of places in use. */
+    public val placesInUse: Int
+        get() = ledgers.values.sumOf { it.places.size }
+
+    /** Takes over the servers that may get new work; [engine] is null for a pool of plain calls. */
+    public fun configure(servers: List<BackendServer>, engine: EngineProfile?) {
+        selection = if (engine == null) CallPlaceSelection(ledgers) else GenerationPlaceSelection(ledgers, engine)
+        val listed = servers.associateBy { it.id }
+        ledgers.keys.retainAll(listed.keys)
+        servers.forEach { server ->
+            val known = ledgers[server.id]
+            if (known == null || known.server.startedAt != server.startedAt) {
+                ledgers[server.id] = ServerLedger(server)
+            } else {
+                known.server = server
+            }
+        }
+    }
+
+    /** Decides about [request], or queues it. A repetition gets the decision that was made before. */
+    public fun submit(request: DispatchRequest, now: Timestamp): List<DispatchDecision> {
+        val known = waiting[request.ticket]
+        val granted = recentGrants[request.ticket]
+        if (granted != null) return listOf(granted.decision)
+        if (known != null) {
+            waiting[request.ticket] = known.copy(heardUntil = now + WaitingRequest.HOLDER_SILENCE)
+            return listOf(DispatchDecision.Queued(request.ticket, request.holder))
+        }
+        val entry = WaitingRequest.of(request, now)
+        val refusal = refusalOf(request, entry, now)
+        if (refusal != null) return listOf(entry.refused(refusal, now))
+        waiting[request.ticket] = entry
+        val decisions = pump(now)
+        if (request.ticket !in waiting) return decisions
+        return decisions + DispatchDecision.Queued(request.ticket, request.holder)
+    }
+
+    /** Frees a place, or withdraws a waiting request, and returns the decisions that follow from it. */
+    public fun release(release: DispatchRelease, now: Timestamp): List<DispatchDecision> {
+        waiting.remove(release.ticket)
+        val ledger = release.server?.let { ledgers[it] } ?: return pump(now)
+        val place = ledger.places.remove(PlaceKey(release.ticket, release.part))
+        val domain = recentGrants[release.ticket]?.request?.domain ?: ledger.server.failureDomain
+        ledger.health.record(release.outcome, domain, now)
+        ledger.noteSlowdown(release.slowdownPercent, now)
+        if (place != null && release.outcome == PlaceOutcome.COMPLETED) {
+            selection.observe(ledger, place, release, now)
+        }
+        return pump(now)
+    }
+
+    /** Takes over the places that a holder uses: unlisted ones are free, unknown ones were granted by another dispatcher. */
+    public fun renew(held: HeldPlaces, now: Timestamp): List<DispatchDecision> {
+        val listed = held.places.associateBy { PlaceKey(it.ticket, it.part) }
+        ledgers.values.forEach { ledger ->
+            ledger.places.entries.removeIf { (key, place) ->
+                val ofHolder = place.holder.address == held.holder.address
+                val listedHere = listed[key]?.server == ledger.server.id
+                ofHolder && !listedHere && now >= place.grantedAt + GRANT_TRANSIT
+            }
+        }
+        held.places.forEach { renew(it, held.holder, now) }
+        return pump(now)
+    }
+
+    private fun renew(held: HeldPlace, holder: InstanceId, now: Timestamp) {
+        val ledger = ledgers[held.server] ?: return
+        val key = PlaceKey(held.ticket, held.part)
+        val known = ledger.places[key]
+        if (known != null) {
+            known.expiresAt = now + PLACE_LIFETIME
+            return
+        }
+        ledger.places[key] = UsedPlace(
+            holder = holder,
+            tokens = held.tokens,
+            readsPrompt = false,
+            tokensAhead = 0,
+            grantedAt = now,
+            expiresAt = now + PLACE_LIFETIME,
+        )
+    }
+
+    /** Frees places and drops requests whose holders fell silent, refuses what is hopeless, and grants what fits. */
+    public fun tick(now: Timestamp): List<DispatchDecision> {
+        ledgers.values.forEach { ledger -> ledger.places.values.removeIf { it.expiresAt <= now } }
+        recentGrants.values.removeIf { it.forgetAt <= now }
+        waiting.values.removeIf { it.heardUntil <= now }
+        return pump(now)
+    }
+
+    private fun refusalOf(request: DispatchRequest, entry: WaitingRequest, now: Timestamp): DispatchRefusal? = when {
+        ledgers.keys.none { it !in entry.excluded } -> DispatchRefusal.NO_SERVER
+        request.repeated && !budget.take(now) -> DispatchRefusal.RETRY_BUDGET
+        else -> {
+            if (!request.repeated) budget.recordFirstAttempt(now)
+            DispatchRefusal.OVERLOADED.takeIf { isHopeless(entry, waiting.size, now) }
+        }
+    }
+
+    private fun isHopeless(entry: WaitingRequest, ahead: Int, now: Timestamp): Boolean {
+        val wait = throughput.timeFor(ahead, now) ?: Duration.ZERO
+        return now + wait + selection.leastTime(entry, now) >= entry.deadlineAt
+    }
+
+    private fun pump(now: Timestamp): List<DispatchDecision> {
+        if (waiting.isEmpty()) return emptyList()
+        val decisions = mutableListOf<DispatchDecision>()
+        val hopeless = waiting.values.filter { isHopeless(it, ahead = 0, now) }
+        hopeless.forEach {
+            waiting.remove(it.ticket)
+            decisions += it.refused(DispatchRefusal.OVERLOADED, now)
+        }
+        for (entry in inOrder(now)) {
+            val granted = selection.place(entry, now) ?: break
+            waiting.remove(entry.ticket)
+            decisions += grant(entry, granted, now)
+        }
+        return decisions
+    }
+
+    /** Orders requests that can be on time before late ones, then by priority and objective. */
+    private fun inOrder(now: Timestamp): List<WaitingRequest> = waiting.values.sortedWith(
+        compareBy<WaitingRequest> { now + selection.usualTime(it, now) > it.objectiveAt }
+            .thenBy { it.priority }
+            .thenBy { it.objectiveAt },
+    )
+
+    private fun grant(entry: WaitingRequest, places: PlacedRequest, now: Timestamp): DispatchDecision {
+        places.prefill?.let { use(it, entry, PlacePart.PREFILL, now) }
+        use(places.run, entry, PlacePart.RUN, now)
+        throughput.record(now)
+        val decision = DispatchDecision.Granted(
+            ticket = entry.ticket,
+            holder = entry.holder,
+            server = places.run.ledger.server.id,
+            prefillServer = places.prefill?.ledger?.server?.id,
+        )
+        recentGrants[entry.ticket] = RecentGrant(decision, entry, forgetAt = entry.deadlineAt)
+        return decision
+    }
+
+    private fun use(place: PlannedPlace, entry: WaitingRequest, part: PlacePart, now: Timestamp) {
+        place.ledger.places[PlaceKey(entry.ticket, part)] = UsedPlace(
+            holder = entry.holder,
+            tokens = place.tokens,
+            readsPrompt = place.readsPrompt,
+            tokensAhead = place.tokensAhead,
+            grantedAt = now,
+            expiresAt = now + PLACE_LIFETIME,
+        )
+    }
+
+    private fun WaitingRequest.refused(reason: DispatchRefusal, now: Timestamp): DispatchDecision.Refused {
+        val wait = throughput.timeFor(waiting.size, now) ?: Duration.ZERO
+        return DispatchDecision.Refused(ticket, holder, reason, retryAfter = maxOf(wait, SHORTEST_RETRY))
+    }
+
+    private class RecentGrant(
+        val decision: DispatchDecision.Granted,
+        val request: WaitingRequest,
+        val forgetAt: Timestamp,
+    )
+
+    private companion object {
+        /** Time after which a place is free unless its holder reports it again; holders report five times as often. */
+        val PLACE_LIFETIME = 1_500.milliseconds
+
+        /** Time that a grant may need to its holder and the holder's next report back. */
+        val GRANT_TRANSIT = 700.milliseconds
+
+        /** Shortest time after which a refused request may come again. */
+        val SHORTEST_RETRY = 200.milliseconds
+    }
+}
+
+/** Measures how many requests a pool takes a second. */
+internal class GrantRate {
+    private val grants = ArrayDeque<Timestamp>()
+
+    fun record(now: Timestamp) {
+        grants.addLast(now)
+        forget(now)
+    }
+
+    /** Returns the time in which [count] requests are granted at the present rate; null when nothing is known. */
+    fun timeFor(count: Int, now: Timestamp): Duration? {
+        forget(now)
+        if (grants.size < MINIMUM_GRANTS) return null
+        return WINDOW * count / grants.size
+    }
+
+    private fun forget(now: Timestamp) {
+        while (grants.isNotEmpty() && now - grants.first() > WINDOW) grants.removeFirst()
+    }
+
+    private companion object {
+        val WINDOW = 2_000.milliseconds
+        const val MINIMUM_GRANTS = 8
+    }
+}
--- /dev/null
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerLedger.kt
@@ -0,0 +1,75 @@
+/*
+ * The places of one backend server that are in use, and what its answers say about its speed.
+ */
+package org.arbutusnotch.core.dispatch
+
+import org.arbutusnotch.core.forwarding.BackendServer
+import org.arbutusnotch.core.id.InstanceId
+import org.arbutusnotch.core.id.TicketId
+import org.arbutusnotch.core.message.PlacePart
+import org.arbutusnotch.core.straggler.SpeedEstimate
+import org.arbutusnotch.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+internal data class PlaceKey(val ticket: TicketId, val part: PlacePart)
+
+/**
+ * Describes a place in use.
+ *
+ * @property tokens memory that the place takes, or prompt tokens to read for [PlacePart.PREFILL]
+ * @property readsPrompt whether the server also reads the prompt
+ * @property expiresAt time at which the place is free unless its holder reports it again
+ */
+internal class UsedPlace(
+    val holder: InstanceId,
+    val tokens: Int,
+    val readsPrompt: Boolean,
+    val tokensAhead: Int,
+    val grantedAt: Timestamp,
+    var expiresAt: Timestamp,
+)
+
+internal class ServerLedger(var server: BackendServer) {
+    val places = LinkedHashMap<PlaceKey, UsedPlace>()
+    val health = ServerHealth()
+
+    /** Time for one call, or for one prompt token, corrected by the slowdown that the server reported. */
+    val speed = SpeedEstimate(SPEED_WEIGHT)
+    private var slowdownPercent = USUAL_PERCENT
+    private var slowdownUntil = Timestamp(0)
+
+    val usedTokens: Int
+        get() = places.entries.sumOf { if (it.key.part == PlacePart.RUN) it.value.tokens else 0 }
+
+    val promptTokensAhead: Int
+        get() = places.entries.sumOf { if (it.key.part == PlacePart.PREFILL) it.value.tokens else 0 }
+
+    val ownPrompts: Int
+        get() = places.values.count { it.readsPrompt }
+
+    fun noteSlowdown(percent: Int, now: Timestamp) {
+        if (percent <= 0) return
+        slowdownPercent = percent
+        slowdownUntil = now + SLOWDOWN_LIFETIME
+    }
+
+    /** Returns the factor by which work takes longer than usual at [now]. */
+    fun slowdown(now: Timestamp): Double =
+        if (now < slowdownUntil) slowdownPercent / USUAL_PERCENT.toDouble() else 1.0
+
+    /** Returns the expected time of one unit of work at [now], or of [usual] where nothing was observed. */
+    fun timePerUnit(usual: Duration, now: Timestamp): Duration = (speed.perUnit ?: usual) * slowdown(now)
+
+    /** Returns the age of the oldest place of [part] in use, or zero. */
+    fun oldestAge(part: PlacePart, now: Timestamp): Duration =
+        places.entries.firstOrNull { it.key.part == part }?.let { now - it.value.grantedAt } ?: Duration.ZERO
+
+    private companion object {
+        const val SPEED_WEIGHT = 0.25
+        const val USUAL_PERCENT = 100
+
+        /** Time for which a reported slowdown counts; it changes many times a second. */
+        val SLOWDOWN_LIFETIME = 400.milliseconds
+    }
+}
--- /dev/null
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/Route.kt
@@ -0,0 +1,110 @@
+/*
+ * The routes by which requests of callers are forwarded to pools of backend servers.
+ *
+ * A route is selected by host name and path prefix alone; the body of a request is opaque.
+ */
+package org.arbutusnotch.core.forwarding
+
+import org.arbutusnotch.core.id.PoolId
+import org.arbutusnotch.core.id.RevisionNumber
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/** Tells how often a request of a route may run. */
+public sealed class RouteKind {
+    /** Whether a second run does no harm. */
+    public abstract val idempotent: Boolean
+
+    /** Calls that may run more than once. */
+    public data object IdempotentCall : RouteKind() {
+        override val idempotent: Boolean = true
+    }
+
+    /** Calls that run at most once. */
+    public data object SingleRunCall : RouteKind() {
+        override val idempotent: Boolean = false
+    }
+
+    /**
+     * Generations that are answered by a stream of events.
+     *
+     * @property resumable whether another backend server may continue a broken stream
+     */
+    public data class Generation(public val resumable: Boolean) : RouteKind() {
+        override val idempotent: Boolean = resumable
+    }
+}
+
+/** Names a pool to which a route sends the part of its requests that is given by [weight]. */
+public data class RouteTarget(public val pool: PoolId, public val weight: Int)
+
+/**
+ * Describes one route.
+ *
+ * @property host lower-case host name without port
+ * @property prefix beginning of the path, with a slash at both ends
+ * @property timeLimit time after which a request must have an answer
+ * @property objective time within which an answer, or the first event of a stream, is on time
+ * @property maximumServers number of backend servers that may run one request
+ * @property priority rank of the route; 0 is the most urgent
+ */
+public data class Route(
+    public val name: String,
+    public val host: String,
+    public val prefix: String,
+    public val kind: RouteKind,
+    public val targets: List<RouteTarget>,
+    public val timeLimit: Duration,
+    public val objective: Duration,
+    public val maximumServers: Int,
+    public val priority: Int,
+) {
+    /** Selects the pool of one request in proportion to the weights. */
+    public fun selectPool(random: Random): PoolId? {
+        val total = targets.sumOf { it.weight }
+        if (total <= 0) return targets.firstOrNull()?.pool
+        var remaining = random.nextInt(total)
+        return targets.firstOrNull { target ->
+            remaining -= target.weight
+            remaining < 0
+        }?.pool
+    }
+}
+
+/**
+ * Describes the engines of a pool that serves language models.
+ *
+ * @property slots requests that one engine runs at once
+ * @property memoryTokens tokens that the memory of one engine holds
+ */
+public data class EngineProfile(public val slots: Int, public val memoryTokens: Int)
+
+/** Describes a pool; [engine] is null when it serves plain calls. */
+public data class PoolDefinition(public val pool: PoolId, public val engine: EngineProfile?)
+
+/**
+ * Bounds what a caller may send and how long it may take.
+ *
+ * @property headTime time within which the head of a request must be complete
+ * @property idleTime time after which an unused connection is closed
+ */
+public data class CallerLimits(
+    public val headBytes: Int,
+    public val bodyBytes: Int,
+    public val headTime: Duration,
+    public val idleTime: Duration,
+)
+
+/** Holds one revision of the published routes. */
+public class RouteTable(
+    public val revision: RevisionNumber,
+    public val routes: List<Route>,
+    public val pools: Map<PoolId, PoolDefinition>,
+    public val limits: CallerLimits,
+) {
+    private val byHost = routes.groupBy { it.host }.mapValues { (_, of) -> of.sortedByDescending { it.prefix.length } }
+
+    /** Returns the route of [host] with the longest prefix that begins [path], or null. */
+    public fun find(host: String, path: String): Route? =
+        byHost[host.substringBefore(':').lowercase()]?.firstOrNull { path.startsWith(it.prefix) }
+}
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/id/Identifiers.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/id/Identifiers.kt
@@ -68,7 +68,10 @@
     override fun toString(): String = value
 }
 
-/** Identifies a backend server by its address, in the form `ip:port`. */
+/**
+ * Identifies a backend server: by its address `ip:port` in the operators' file, by the id of its process where servers
+ * register themselves.
+ */
 @Serializable
 @JvmInline
 public value class BackendServerId(public val value: String) {
@@ -89,6 +92,13 @@
     override fun toString(): String = value
 }
 
+/** Identifies one request for a place at a backend server, in the form `<instance address>/<incarnation>/<number>`. */
+@Serializable
+@JvmInline
+public value class TicketId(public val value: String) {
+    override fun toString(): String = value
+}
+
 /** Numbers a configuration; the higher valid revision wins. */
 @Serializable
 @JvmInline
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/EntryPointList.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/EntryPointList.kt
@@ -40,5 +40,23 @@
             val addresses = (selected + far).take(MAXIMUM_ADDRESSES).map { it.row.entryAddress }
             return EntryPointList(addresses, now + VALIDITY)
         }
+
+        /** Number of near instances that are enough for a list without far ones. */
+        public const val ENOUGH_NEAR: Int = 3
+
+        /** Largest list for callers that select an address at random. */
+        public const val MAXIMUM_NEAREST: Int = 64
+
+        /**
+         * Returns the entry addresses for callers in [domain] that select one at random: the instances of the domain,
+         * and those of other domains only while the domain has fewer than [ENOUGH_NEAR]. Bytes between failure domains
+         * are paid for.
+         */
+        public fun nearest(domain: FailureDomainId, instances: List<InstanceView>): List<String> {
+            val (near, far) = instances.filter { it.acceptsNewWork }.partition { it.row.failureDomain == domain }
+            val missing = (ENOUGH_NEAR - near.size).coerceAtLeast(0)
+            val ordered = RendezvousHash.order(domain.value, far, { it.address.value })
+            return (near + ordered.take(missing)).take(MAXIMUM_NEAREST).map { it.row.entryAddress }
+        }
     }
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
@@ -50,11 +50,15 @@
  */
 public class InstanceTable(
     own: InstanceRow,
-    private val seeds: Collection<InstanceAddress> = emptyList(),
+    seeds: Collection<InstanceAddress> = emptyList(),
     private val suspicion: Duration = SUSPICION,
     private val removal: Duration = REMOVAL,
 ) {
     private val peers = LinkedHashMap<InstanceAddress, KnownInstance>()
+
+    /** Addresses to contact while the published list does not name enough instances. */
+    public var seeds: Collection<InstanceAddress> = seeds
+
     private var sendings = 0L
     private var heartbeatSendings = 0L
     private var lastTick: Timestamp? = null
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/retry/RetryBudget.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/retry/RetryBudget.kt
@@ -7,8 +7,16 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Counts first attempts and retries in a sliding window. */
-public class RetryBudget {
+/**
+ * Counts first attempts and retries in a sliding window.
+ *
+ * @param firstAttemptsPerRetry one retry is allowed for this many first attempts
+ * @param fixedAllowance retries that are allowed in each window without first attempts
+ */
+public class RetryBudget(
+    private val firstAttemptsPerRetry: Int = FIRST_ATTEMPTS_PER_RETRY,
+    private val fixedAllowance: Int = FIXED_ALLOWANCE,
+) {
     private val buckets = ArrayDeque<Bucket>()
 
     /** Records a first attempt at [now]. */
@@ -21,7 +29,7 @@
         discardOld(now)
         val oldest = oldestBucket(now)
         val firstAttempts = buckets.filter { it.number > oldest }.sumOf { it.firstAttempts }
-        val allowed = firstAttempts / FIRST_ATTEMPTS_PER_RETRY + FIXED_ALLOWANCE
+        val allowed = firstAttempts / firstAttemptsPerRetry + fixedAllowance
         return (allowed - buckets.sumOf { it.retries }).coerceAtLeast(0)
     }
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/ControlEventLog.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/ControlEventLog.kt
@@ -8,7 +8,7 @@
 import org.arbutusnotch.core.membership.MembershipEvent
 import org.arbutusnotch.core.straggler.StragglerDecision
 import org.arbutusnotch.daemon.control.ControlEvent
-import org.arbutusnotch.daemon.telemetry.EventLog
+import org.arbutusnotch.telemetry.EventLog
 
 /** Writes [event] to [log]; decisions about single requests are not logged. */
 internal fun logEvent(log: EventLog, event: ControlEvent) {
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/DaemonOperatorView.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/DaemonOperatorView.kt
@@ -19,7 +19,7 @@
 import org.arbutusnotch.core.routing.ServiceRequest
 import org.arbutusnotch.core.straggler.ServerView
 import org.arbutusnotch.core.time.Timestamp
-import org.arbutusnotch.daemon.control.Clock
+import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.daemon.control.ControlLoop
 import org.arbutusnotch.daemon.control.ControlState
 import org.arbutusnotch.daemon.operator.CandidateStatus
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryContext.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryContext.kt
@@ -14,7 +14,7 @@
 import org.arbutusnotch.daemon.backend.BackendError
 import org.arbutusnotch.daemon.backend.EngineClient
 import org.arbutusnotch.daemon.backend.ServiceClient
-import org.arbutusnotch.daemon.control.Clock
+import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.daemon.control.ControlLoop
 import org.arbutusnotch.daemon.control.ControlState
 import org.arbutusnotch.daemon.telemetry.Counters
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PermitGateway.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PermitGateway.kt
@@ -17,7 +17,7 @@
 import org.arbutusnotch.core.permit.returnOfLatePermit
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.core.token.IdempotencyToken
-import org.arbutusnotch.daemon.control.Clock
+import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.daemon.control.ControlLoop
 import org.arbutusnotch.peer.PeerTransport
 import kotlin.time.Duration
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/RefusalResponder.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/RefusalResponder.kt
@@ -8,7 +8,7 @@
 import org.arbutusnotch.core.outcome.RefusalReason
 import org.arbutusnotch.core.outcome.RequestOutcome
 import org.arbutusnotch.core.time.Timestamp
-import org.arbutusnotch.daemon.telemetry.EventLog
+import org.arbutusnotch.telemetry.EventLog
 
 /** Builds the responses of requests that are not answered. */
 internal class RefusalResponder(private val entry: EntryContext) {
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/GossipExchange.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/GossipExchange.kt
@@ -9,7 +9,7 @@
 import org.arbutusnotch.core.message.Gossip
 import org.arbutusnotch.core.message.QuarantineEntry
 import org.arbutusnotch.core.message.ServerSummary
-import org.arbutusnotch.daemon.control.Clock
+import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.daemon.control.ControlEvent
 import org.arbutusnotch.daemon.control.ControlLoop
 import org.arbutusnotch.daemon.control.ControlState
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/PeerMessageHandler.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/PeerMessageHandler.kt
@@ -16,7 +16,7 @@
 import org.arbutusnotch.core.message.ReserveRequest
 import org.arbutusnotch.core.message.StreamReport
 import org.arbutusnotch.core.message.StreamReportReply
-import org.arbutusnotch.daemon.control.Clock
+import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.daemon.control.ConfigurationIntake
 import org.arbutusnotch.daemon.control.ControlEvent
 import org.arbutusnotch.daemon.control.ControlLoop
--- /dev/null
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -0,0 +1,87 @@
+/*
+ * Dispatches for the pools that other instances, or this one, ask for.
+ */
+package org.arbutusnotch.forwarding.dispatch
+
+import org.arbutusnotch.core.dispatch.DispatchDecision
+import org.arbutusnotch.core.dispatch.PoolDispatcher
+import org.arbutusnotch.core.forwarding.BackendServer
+import org.arbutusnotch.core.forwarding.PoolDefinition
+import org.arbutusnotch.core.id.InstanceAddress
+import org.arbutusnotch.core.id.PoolId
+import org.arbutusnotch.core.message.DispatchRelease
+import org.arbutusnotch.core.message.DispatchReply
+import org.arbutusnotch.core.message.DispatchRequest
+import org.arbutusnotch.core.message.HeldPlaces
+import org.arbutusnotch.core.retry.RetryBudget
+import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.telemetry.EventLog
+
+/**
+ * Holds one [PoolDispatcher] for each pool.
+ *
+ * @param servers returns the servers of all pools that may get new work
+ * @param definition returns what the configuration says of a pool
+ * @param newBudget creates the retry budget of a pool
+ * @param reply sends a reply to the instance at an address
+ */
+internal class DispatchService(
+    private val servers: (Timestamp) -> List<BackendServer>,
+    private val definition: (PoolId) -> PoolDefinition?,
+    private val newBudget: () -> RetryBudget,
+    private val reply: (InstanceAddress, DispatchReply) -> Unit,
+) {
+    private val log = EventLog("dispatch")
+    private val dispatchers = HashMap<PoolId, PoolDispatcher>()
+
+    /** Requests that wait in all pools. */
+    val queueLength: Int
+        get() = dispatchers.values.sumOf { it.queueLength }
+
+    /** Places in use in all pools. */
+    val placesInUse: Int
+        get() = dispatchers.values.sumOf { it.placesInUse }
+
+    fun onRequest(request: DispatchRequest, now: Timestamp) {
+        deliver(dispatcher(request.pool, now).submit(request, now))
+    }
+
+    fun onRelease(release: DispatchRelease, now: Timestamp) {
+        val dispatcher = dispatchers[release.pool] ?: return
+        deliver(dispatcher.release(release, now))
+    }
+
+    fun onHeld(held: HeldPlaces, now: Timestamp) {
+        deliver(dispatcher(held.pool, now).renew(held, now))
+    }
+
+    fun tick(now: Timestamp) {
+        if (dispatchers.isEmpty()) return
+        val usable = servers(now).groupBy { it.pool }
+        dispatchers.forEach { (pool, dispatcher) ->
+            dispatcher.configure(usable[pool].orEmpty(), definition(pool)?.engine)
+            deliver(dispatcher.tick(now))
+        }
+    }
+
+    private fun dispatcher(pool: PoolId, now: Timestamp): PoolDispatcher = dispatchers.getOrPut(pool) {
+        PoolDispatcher(newBudget()).also { created ->
+            created.configure(servers(now).filter { it.pool == pool }, definition(pool)?.engine)
+        }
+    }
+
+    private fun deliver(decisions: List<DispatchDecision>) {
+        decisions.forEach { decision ->
+            log.debug("dispatch_decided") { field("decision", decision) }
+            reply(decision.holder.address, replyOf(decision))
+        }
+    }
+
+    private fun replyOf(decision: DispatchDecision): DispatchReply = when (decision) {
+        is DispatchDecision.Granted ->
+            DispatchReply.Granted(decision.ticket, decision.server, decision.prefillServer)
+        is DispatchDecision.Queued -> DispatchReply.Queued(decision.ticket)
+        is DispatchDecision.Refused ->
+            DispatchReply.Refused(decision.ticket, decision.reason, decision.retryAfter.inWholeMilliseconds)
+    }
+}
--- /dev/null
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -0,0 +1,238 @@
+/*
+ * A plain call: its answer is collected whole before it is passed on, so that a broken answer can still be repeated, or
+ * reported as a failure.
+ */
+package org.arbutusnotch.forwarding.exchange
+
+import io.netty.buffer.ByteBuf
+import org.arbutusnotch.core.message.PlaceOutcome
+import org.arbutusnotch.core.message.PlacePart
+import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.forwarding.RunPart
+import org.arbutusnotch.forwarding.ServerAnswer
+import org.arbutusnotch.forwarding.dispatch.GrantedPlace
+import org.arbutusnotch.forwarding.dispatch.PlaceUse
+import org.arbutusnotch.forwarding.http.CallEnd
+import org.arbutusnotch.forwarding.http.HttpRequestMessage
+import org.arbutusnotch.forwarding.http.Responder
+import org.arbutusnotch.forwarding.http.ResponseHead
+import org.arbutusnotch.forwarding.http.ServerCall
+import org.arbutusnotch.forwarding.http.ServerCallListener
+import org.arbutusnotch.forwarding.http.socketAddress
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+internal class CallExchange(context: ForwardingContext, request: RoutedRequest, responder: Responder) :
+    Exchange(context, request, responder) {
+    private var attempt: Attempt? = null
+    private var arrivals = 0
+
+    override fun unused(place: GrantedPlace) {
+        context.dispatch.release(place, PlacePart.RUN, PlaceUse(PlaceOutcome.UNUSED))
+    }
+
+    override fun onPlace(place: GrantedPlace) {
+        val started = Attempt(place)
+        attempt = started
+        started.start()
+    }
+
+    override fun stopAttempt() {
+        attempt?.stop()
+        attempt = null
+    }
+
+    /** A call that may run only once runs to its end, so that leaving does not break off a booking. */
+    override fun stopForDeparture() {
+        if (request.route.kind.idempotent) stopAttempt() else attempt?.abandon()
+    }
+
+    private fun onAttemptEnd(ended: Attempt, result: AttemptResult) {
+        attempt = null
+        if (finished) return
+        val repeatable = arrivals < MAXIMUM_ARRIVALS && context.now() < deadlineAt
+        when (result) {
+            is AttemptResult.Answered -> if (mayRepeat(result) && repeatable) {
+                lastFailure = result
+                excluded += ended.place.server.id
+                ask(repeated = true)
+            } else {
+                deliver(result.head, result.body)
+            }
+            is AttemptResult.NotRun -> {
+                excluded += ended.place.server.id
+                if (repeatable) ask(repeated = result.received) else refuse("servers_full", SHORTEST_RETRY)
+            }
+            is AttemptResult.Unknown -> {
+                excluded += ended.place.server.id
+                val again = request.route.kind.idempotent && ranOn.size < request.route.maximumServers && repeatable
+                if (again) ask(repeated = true) else endAfterFailure(result.detail)
+            }
+        }
+    }
+
+    private var lastFailure: AttemptResult.Answered? = null
+
+    /** A failure that a server answered is passed on unless another server may still do better. */
+    private fun mayRepeat(result: AttemptResult.Answered): Boolean =
+        result.head.status >= FIRST_SERVER_ERROR && request.route.kind.idempotent &&
+            ranOn.size < request.route.maximumServers
+
+    private fun endAfterFailure(reason: String) {
+        val failure = lastFailure
+        if (failure != null) deliver(failure.head, failure.body) else fail(BAD_GATEWAY, reason)
+    }
+
+    override fun onNoPlace(reason: org.arbutusnotch.core.message.DispatchRefusal, retryAfter: Duration) {
+        if (lastFailure != null) endAfterFailure(reason.code()) else super.onNoPlace(reason, retryAfter)
+    }
+
+    private inner class Attempt(val place: GrantedPlace) : ServerCallListener {
+        private val startedAt: Timestamp = context.now()
+        private val body = ByteArrayOutputStream()
+        private var call: ServerCall? = null
+        private var head: ResponseHead? = null
+        private var facts: ServerAnswer? = null
+        private var sent = false
+        private var over = false
+        private var reported = false
+        private var cancelSilence: () -> Unit = {}
+
+        fun start() {
+            val remaining = deadlineAt - context.now()
+            val head = context.protocol.serverRequest(request.message.head, place.server.id, RunPart.Whole, remaining)
+            val started = ServerCall(HttpRequestMessage(head, request.message.body), CONNECT_TIME, this)
+            call = started
+            started.start(socketAddress(place.server.address), context.group)
+        }
+
+        override fun maySend(): Boolean {
+            val usable = context.registry.findUsable(place.server.id, context.now()) != null
+            if (!usable || finished || context.now() >= deadlineAt) return false
+            sent = true
+            arrivals += 1
+            mayHaveRun = true
+            ranOn += place.server.id
+            cancelSilence = context.at(context.now() + silenceLimit()) { if (!over) onSilence() }
+            return true
+        }
+
+        private fun silenceLimit(): Duration = request.route.objective * SILENCE_OBJECTIVES + SILENCE_EXTRA
+
+        /** An idempotent call goes to another server; any other keeps waiting for its answer. */
+        private fun onSilence() {
+            if (head != null) return
+            report(PlaceOutcome.SILENT)
+            logAttempt(place.server.id, "call", "silent", "no answer yet", startedAt)
+            val again = request.route.kind.idempotent && ranOn.size < request.route.maximumServers
+            if (!again || finished) return
+            over = true
+            call?.cancel()
+            onAttemptEnd(this, AttemptResult.Unknown("server_silent"))
+        }
+
+        override fun onHead(head: ResponseHead) {
+            this.head = head
+            facts = context.protocol.readAnswer(head)
+        }
+
+        override fun onPart(content: ByteBuf) {
+            content.readBytes(body, content.readableBytes())
+            content.release()
+        }
+
+        override fun onEnd(end: CallEnd) {
+            if (over) return
+            over = true
+            cancelSilence()
+            val result = resultOf(end)
+            report(result.outcome)
+            logAttempt(place.server.id, "call", result.outcome.name.lowercase(), result.detail, startedAt)
+            onAttemptEnd(this, result)
+        }
+
+        private fun resultOf(end: CallEnd): AttemptResult = when (end) {
+            is CallEnd.NotSent -> notRun(PlaceOutcome.UNREACHABLE, end.detail, received = false)
+            is CallEnd.Broken -> AttemptResult.Unknown(end.detail)
+            is CallEnd.Complete -> resultOf(head, facts)
+        }
+
+        private fun resultOf(head: ResponseHead?, facts: ServerAnswer?): AttemptResult = when {
+            head == null || facts == null -> AttemptResult.Unknown("no head")
+            facts.notRun -> notRun(PlaceOutcome.NOT_RUN, "status ${head.status}", received = true)
+            facts.requestId != request.caller.id -> AttemptResult.Unknown("answer to another request")
+            !facts.sealed && head.status in SUCCESS -> AttemptResult.Unknown("answer without seal")
+            else -> AttemptResult.Answered(head, body.toByteArray())
+        }
+
+        private fun notRun(outcome: PlaceOutcome, detail: String, received: Boolean): AttemptResult {
+            ranOn -= place.server.id
+            if (ranOn.isEmpty()) mayHaveRun = false
+            return AttemptResult.NotRun(outcome, detail, received)
+        }
+
+        private fun report(outcome: PlaceOutcome) {
+            if (reported) return
+            reported = true
+            val use = PlaceUse(
+                outcome = outcome,
+                elapsed = context.now() - startedAt,
+                slowdownPercent = facts?.slowdownPercent ?: 0,
+            )
+            context.dispatch.release(place, PlacePart.RUN, use)
+        }
+
+        /** Ends the connection and returns the place. */
+        fun stop() {
+            if (over) return
+            over = true
+            cancelSilence()
+            call?.cancel()
+            report(PlaceOutcome.UNUSED)
+        }
+
+        /** Lets the call run to its end without using its answer. */
+        fun abandon() {
+            if (!sent) stop()
+        }
+    }
+
+    private companion object {
+        const val FIRST_SERVER_ERROR = 500
+        val SUCCESS = 200..299
+
+        /** Servers that may receive one request, those that reject it included. */
+        const val MAXIMUM_ARRIVALS = 3
+
+        /** Time without an answer, in objectives and beyond, after which a server counts as silent. */
+        const val SILENCE_OBJECTIVES = 1.5
+        val SILENCE_EXTRA = 100.milliseconds
+    }
+}
+
+/** Describes the end of one attempt at a server. */
+internal sealed class AttemptResult {
+    abstract val outcome: PlaceOutcome
+    abstract val detail: String
+
+    /** The server answered completely. */
+    class Answered(val head: ResponseHead, val body: ByteArray) : AttemptResult() {
+        override val detail: String = "status ${head.status}"
+        override val outcome: PlaceOutcome =
+            if (head.status >= SERVER_ERROR) PlaceOutcome.SERVER_FAILED else PlaceOutcome.COMPLETED
+    }
+
+    /** The request did not run; [received] tells whether the server received it. */
+    class NotRun(override val outcome: PlaceOutcome, override val detail: String, val received: Boolean) :
+        AttemptResult()
+
+    /** The request may have run. */
+    class Unknown(override val detail: String) : AttemptResult() {
+        override val outcome: PlaceOutcome = PlaceOutcome.BROKEN
+    }
+
+    private companion object {
+        const val SERVER_ERROR = 500
+    }
+}
--- /dev/null
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -0,0 +1,204 @@
+/*
+ * One request of a caller, from its arrival to its final answer.
+ *
+ * A request that may run only once is told as not run while no byte of it was sent, or when each server that received
+ * it stated so. After that it ends with the server's answer or as unknown.
+ */
+package org.arbutusnotch.forwarding.exchange
+
+import org.arbutusnotch.core.forwarding.Route
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.PoolId
+import org.arbutusnotch.core.id.TicketId
+import org.arbutusnotch.core.message.DispatchRefusal
+import org.arbutusnotch.core.message.DispatchWork
+import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.forwarding.CallerRequest
+import org.arbutusnotch.forwarding.dispatch.GrantedPlace
+import org.arbutusnotch.forwarding.dispatch.PlaceAnswer
+import org.arbutusnotch.forwarding.dispatch.PlaceQuestion
+import org.arbutusnotch.forwarding.http.CallerDeparture
+import org.arbutusnotch.forwarding.http.HttpRequestMessage
+import org.arbutusnotch.forwarding.http.Responder
+import org.arbutusnotch.forwarding.http.ResponseHead
+import org.arbutusnotch.telemetry.EventLog
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Describes a request with its route. */
+internal class RoutedRequest(
+    val message: HttpRequestMessage,
+    val caller: CallerRequest,
+    val route: Route,
+    val pool: PoolId,
+    val work: DispatchWork,
+)
+
+internal abstract class Exchange(
+    protected val context: ForwardingContext,
+    protected val request: RoutedRequest,
+    protected val responder: Responder,
+) : CallerDeparture {
+    protected val log: EventLog = EventLog("exchange")
+    protected val receivedAt: Timestamp = context.now()
+    protected val deadlineAt: Timestamp =
+        receivedAt + minOf(request.caller.remaining ?: request.route.timeLimit, request.route.timeLimit)
+    private val objectiveAt: Timestamp = receivedAt + request.route.objective
+    private var ticket: TicketId? = null
+    private var cancelDeadline: () -> Unit = {}
+
+    /** Whether a server may have run the request. */
+    protected var mayHaveRun: Boolean = false
+
+    /** Servers that may have run the request. */
+    protected val ranOn: MutableSet<BackendServerId> = linkedSetOf()
+
+    /** Servers to which the request must not go again. */
+    protected val excluded: MutableSet<BackendServerId> = linkedSetOf()
+
+    protected var finished: Boolean = false
+        private set
+
+    fun start() {
+        cancelDeadline = context.at(deadlineAt) { if (!finished) onDeadline() }
+        ask(repeated = false)
+    }
+
+    /** Asks for a place; [repeated] tells whether a server has already received the request. */
+    protected fun ask(repeated: Boolean) {
+        val question = PlaceQuestion(
+            pool = request.pool,
+            work = request.work,
+            priority = request.route.priority,
+            objectiveAt = objectiveAt,
+            deadlineAt = deadlineAt,
+            excluded = excluded.toSet(),
+            repeated = repeated,
+        )
+        ticket = null
+        val asked = context.dispatch.ask(question) { answer ->
+            ticket = null
+            answered = true
+            onAnswer(answer)
+        }
+        if (!answered) ticket = asked
+        answered = false
+    }
+
+    private var answered = false
+
+    private fun onAnswer(answer: PlaceAnswer) {
+        when (answer) {
+            is PlaceAnswer.Granted -> {
+                logPlace(answer.place)
+                if (finished) unused(answer.place) else onPlace(answer.place)
+            }
+            is PlaceAnswer.Refused -> if (!finished) onNoPlace(answer.reason, answer.retryAfter)
+        }
+    }
+
+    private fun logPlace(place: GrantedPlace) {
+        log.info("place_granted") {
+            field("request", request.caller.id)
+            field("pool", place.pool)
+            field("server", place.server.id)
+            field("prefill_server", place.prefillServer?.id)
+            field("waited_millis", (context.now() - receivedAt).inWholeMilliseconds)
+        }
+    }
+
+    /** Returns both parts of a place that is not used. */
+    protected abstract fun unused(place: GrantedPlace)
+
+    /** Sends the request to the servers of [place]. */
+    protected abstract fun onPlace(place: GrantedPlace)
+
+    /** Ends the request after the dispatcher refused it. */
+    protected open fun onNoPlace(reason: DispatchRefusal, retryAfter: Duration) {
+        if (mayHaveRun) fail(BAD_GATEWAY, reason.code()) else refuse(reason.code(), retryAfter)
+    }
+
+    /** Ends the request at its deadline. */
+    protected open fun onDeadline() {
+        stopAttempt()
+        if (mayHaveRun) fail(GATEWAY_TIMEOUT, "deadline") else refuse("deadline", SHORTEST_RETRY)
+    }
+
+    override fun onCallerLeft() {
+        if (finished) return
+        finish("caller_left", "")
+        stopForDeparture()
+    }
+
+    /** Stops whatever runs for the request. */
+    protected abstract fun stopAttempt()
+
+    /** Stops what runs when the caller has left. */
+    protected open fun stopForDeparture(): Unit = stopAttempt()
+
+    /** Answers that the request has not run and will not; the caller may come again after [retryAfter]. */
+    protected fun refuse(reason: String, retryAfter: Duration) {
+        if (finished) return
+        finish("refused", reason)
+        responder.send(OwnAnswers.refusal(reason, retryAfter), ByteArray(0))
+    }
+
+    /** Answers that it is not known whether the request has run. */
+    protected fun fail(status: Int, reason: String) {
+        if (finished) return
+        finish("unknown", reason)
+        responder.send(OwnAnswers.failure(status, reason), ByteArray(0))
+    }
+
+    /** Passes on a complete answer of a server. */
+    protected fun deliver(head: ResponseHead, body: ByteArray) {
+        if (finished) return
+        finish("answered", head.status.toString())
+        responder.send(OwnAnswers.passedOn(head), body)
+    }
+
+    /** Ends the exchange, which has sent its final answer or is about to. */
+    protected fun finish(outcome: String, reason: String) {
+        if (finished) return
+        finished = true
+        cancelDeadline()
+        ticket?.let { context.dispatch.withdraw(it) }
+        val elapsed = context.now() - receivedAt
+        context.counters.ended(outcome, reason, elapsed)
+        log.info("request_ended") {
+            field("request", request.caller.id)
+            field("route", request.route.name)
+            field("outcome", outcome)
+            field("reason", reason)
+            field("may_have_run", mayHaveRun)
+            field("servers", ranOn.joinToString(","))
+            field("elapsed_millis", elapsed.inWholeMilliseconds)
+            field("left_millis", (deadlineAt - context.now()).inWholeMilliseconds)
+        }
+    }
+
+    protected fun logAttempt(server: BackendServerId, part: String, outcome: String, detail: String, since: Timestamp) {
+        context.counters.attempted(outcome)
+        log.info("attempt_ended") {
+            field("request", request.caller.id)
+            field("server", server)
+            field("part", part)
+            field("outcome", outcome)
+            field("detail", detail)
+            field("elapsed_millis", (context.now() - since).inWholeMilliseconds)
+        }
+    }
+
+    protected companion object {
+        const val BAD_GATEWAY: Int = 502
+        const val GATEWAY_TIMEOUT: Int = 504
+
+        /** Time to connect to a backend server: many round trips, and less than a repeated opening packet takes. */
+        val CONNECT_TIME: Duration = 400.milliseconds
+
+        /** Shortest time after which a refused request may come again. */
+        val SHORTEST_RETRY: Duration = 300.milliseconds
+    }
+}
+
+internal fun DispatchRefusal.code(): String = name.lowercase()
--- /dev/null
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
@@ -0,0 +1,39 @@
+/*
+ * What every exchange uses.
+ */
+package org.arbutusnotch.forwarding.exchange
+
+import io.netty.channel.EventLoopGroup
+import org.arbutusnotch.core.forwarding.ServerRegistry
+import org.arbutusnotch.core.retry.RetryBudget
+import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.forwarding.ForwardingProtocol
+import org.arbutusnotch.forwarding.dispatch.DispatchClient
+import org.arbutusnotch.telemetry.Clock
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+/**
+ * Holds the parts of the instance that forward requests. All of them are used on one event loop only.
+ *
+ * @property directBudget retries that this instance may send without the dispatcher
+ */
+internal class ForwardingContext(
+    val clock: Clock,
+    val group: EventLoopGroup,
+    val protocol: ForwardingProtocol,
+    val registry: ServerRegistry,
+    val dispatch: DispatchClient,
+    val directBudget: RetryBudget,
+    val random: Random,
+    val counters: ForwardingCounters,
+) {
+    fun now(): Timestamp = clock.now()
+
+    /** Runs [action] at [time]; the result cancels it. */
+    fun at(time: Timestamp, action: () -> Unit): () -> Unit {
+        val delay = (time - now()).inWholeMilliseconds.coerceAtLeast(0)
+        val scheduled = group.schedule(action, delay, TimeUnit.MILLISECONDS)
+        return { scheduled.cancel(false) }
+    }
+}
--- /dev/null
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingCounters.kt
@@ -0,0 +1,48 @@
+/*
+ * Counters and latency histograms of forwarding.
+ */
+package org.arbutusnotch.forwarding.exchange
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.Timer
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** Records what became of requests in [registry]. */
+internal class ForwardingCounters(private val registry: MeterRegistry) {
+    private val counters = HashMap<Pair<String, String>, Counter>()
+    private val timers = HashMap<String, Timer>()
+
+    /** Counts a request that ended with [outcome] for [reason]. */
+    fun ended(outcome: String, reason: String, elapsed: Duration) {
+        counters.getOrPut(outcome to reason) {
+            Counter.builder("arbutusnotch_requests").tag("outcome", outcome).tag("reason", reason).register(registry)
+        }.increment()
+        timers.getOrPut(outcome) {
+            Timer.builder("arbutusnotch_request_seconds").tag("outcome", outcome)
+                .publishPercentileHistogram(false)
+                .serviceLevelObjectives(*LATENCY_BOUNDS)
+                .register(registry)
+        }.record(elapsed.inWholeMicroseconds, TimeUnit.MICROSECONDS)
+    }
+
+    /** Counts an attempt at a backend server that ended with [outcome]. */
+    fun attempted(outcome: String) {
+        counters.getOrPut("attempt" to outcome) {
+            Counter.builder("arbutusnotch_attempts").tag("outcome", outcome).register(registry)
+        }.increment()
+    }
+
+    /** Publishes the present value of [read] under [name]. */
+    fun gauge(name: String, read: () -> Int) {
+        Gauge.builder(name) { read().toDouble() }.register(registry)
+    }
+
+    private companion object {
+        /** Upper bounds of the latency histogram. */
+        val LATENCY_BOUNDS = listOf(25L, 50L, 100L, 200L, 400L, 800L, 1_600L, 3_200L, 6_400L, 12_800L)
+            .map { java.time.Duration.ofMillis(it) }.toTypedArray()
+    }
+}
--- /dev/null
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
@@ -0,0 +1,86 @@
+/*
+ * Routes the requests of callers.
+ */
+package org.arbutusnotch.forwarding.exchange
+
+import org.arbutusnotch.core.forwarding.Route
+import org.arbutusnotch.core.forwarding.RouteKind
+import org.arbutusnotch.core.forwarding.RouteTable
+import org.arbutusnotch.core.message.DispatchWork
+import org.arbutusnotch.forwarding.CallerRequest
+import org.arbutusnotch.forwarding.http.CallerDeparture
+import org.arbutusnotch.forwarding.http.ConnectionHeaders
+import org.arbutusnotch.forwarding.http.HttpRequestMessage
+import org.arbutusnotch.forwarding.http.RequestHandler
+import org.arbutusnotch.forwarding.http.Responder
+import org.arbutusnotch.forwarding.http.ResponseHead
+import org.arbutusnotch.telemetry.EventLog
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+internal class FrontHandler(private val context: ForwardingContext, private val routes: () -> RouteTable?) :
+    RequestHandler {
+    private val log = EventLog("front")
+
+    override fun handle(request: HttpRequestMessage, responder: Responder): CallerDeparture? {
+        val table = routes()
+        val caller = context.protocol.readRequest(request.head)
+        val route = table?.find(request.head.header("host").orEmpty(), request.head.path)
+        val pool = route?.selectPool(context.random)
+        val rejection = when {
+            table == null -> Rejection("no_configuration", OwnAnswers.refusal("no_configuration", NO_ROUTES_RETRY))
+            caller == null -> Rejection("missing_request_id", OwnAnswers.missingId())
+            route == null -> Rejection("unknown_route", OwnAnswers.unknownRoute())
+            pool == null -> Rejection("no_pool", OwnAnswers.refusal("no_pool", NO_ROUTES_RETRY))
+            else -> null
+        }
+        if (rejection != null || caller == null || route == null || pool == null) {
+            rejection?.let { reject(it, caller, table, responder) }
+            return null
+        }
+        val endToEnd = ConnectionHeaders.passedOn(request.head, context.protocol.endToEndHeaders)
+        val message = HttpRequestMessage(request.head.copy(headers = endToEnd), request.body)
+        val routed = RoutedRequest(message, caller, route, pool, workOf(route, caller))
+        log.info("request_received") {
+            field("request", caller.id)
+            field("route", route.name)
+            field("revision", table.revision)
+            field("pool", pool)
+            field("remaining_millis", caller.remaining?.inWholeMilliseconds)
+            field("prompt_tokens", caller.promptTokens)
+        }
+        val exchange = when (route.kind) {
+            is RouteKind.Generation -> GenerationExchange(context, routed, responder)
+            RouteKind.IdempotentCall, RouteKind.SingleRunCall -> CallExchange(context, routed, responder)
+        }
+        exchange.start()
+        return exchange
+    }
+
+    private fun workOf(route: Route, caller: CallerRequest): DispatchWork = when (route.kind) {
+        is RouteKind.Generation -> DispatchWork.Generation(
+            promptTokens = caller.promptTokens,
+            outputTokens = caller.expectedOutputTokens?.coerceAtMost(caller.maximumOutputTokens)
+                ?: caller.maximumOutputTokens,
+        )
+        RouteKind.IdempotentCall, RouteKind.SingleRunCall -> DispatchWork.Call
+    }
+
+    private fun reject(rejection: Rejection, caller: CallerRequest?, table: RouteTable?, responder: Responder) {
+        context.counters.ended("rejected", rejection.reason, Duration.ZERO)
+        log.info("request_rejected") {
+            field("request", caller?.id)
+            field("reason", rejection.reason)
+            field("status", rejection.head.status)
+            field("revision", table?.revision)
+        }
+        responder.send(rejection.head, ByteArray(0))
+    }
+
+    private class Rejection(val reason: String, val head: ResponseHead)
+
+    private companion object {
+        /** Time after which an instance that has just started has its routes. */
+        val NO_ROUTES_RETRY = 400.milliseconds
+    }
+}
--- /dev/null
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -0,0 +1,350 @@
+/*
+ * A generation: one server reads the prompt, another one fetches the memory and streams the events.
+ *
+ * The decode server's place is held before the prompt is read, since the memory of a prompt is kept for less than a
+ * second. When no prefill server answers, the decode server reads the prompt itself.
+ */
+package org.arbutusnotch.forwarding.exchange
+
+import com.github.michaelbull.result.fold
+import io.netty.buffer.ByteBuf
+import org.arbutusnotch.core.message.PlaceOutcome
+import org.arbutusnotch.core.message.PlacePart
+import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.forwarding.RunPart
+import org.arbutusnotch.forwarding.ServerAnswer
+import org.arbutusnotch.forwarding.dispatch.GrantedPlace
+import org.arbutusnotch.forwarding.dispatch.PlaceUse
+import org.arbutusnotch.forwarding.http.CallEnd
+import org.arbutusnotch.forwarding.http.HttpRequestMessage
+import org.arbutusnotch.forwarding.http.HttpResponseMessage
+import org.arbutusnotch.forwarding.http.Responder
+import org.arbutusnotch.forwarding.http.ResponseHead
+import org.arbutusnotch.forwarding.http.ServerCall
+import org.arbutusnotch.forwarding.http.ServerCallListener
+import org.arbutusnotch.forwarding.http.SingleCall
+import org.arbutusnotch.forwarding.http.socketAddress
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal class GenerationExchange(context: ForwardingContext, request: RoutedRequest, responder: Responder) :
+    Exchange(context, request, responder) {
+    private var place: GrantedPlace? = null
+    private var prefill: SingleCall? = null
+    private var run: Run? = null
+    private var arrivals = 0
+    private var begun = false
+
+    /** A prompt that was read and whose memory was not taken yet. */
+    private var openHandle: RunPart.Decode? = null
+
+    override fun unused(place: GrantedPlace) = release(place, PlaceOutcome.UNUSED)
+
+    private fun release(place: GrantedPlace, outcome: PlaceOutcome) {
+        context.dispatch.release(place, PlacePart.PREFILL, PlaceUse(outcome))
+        context.dispatch.release(place, PlacePart.RUN, PlaceUse(outcome))
+    }
+
+    override fun onPlace(place: GrantedPlace) {
+        this.place = place
+        if (place.prefillServer == null) startRun(place, RunPart.Whole) else startPrefill(place)
+    }
+
+    private fun startPrefill(place: GrantedPlace) {
+        val server = place.prefillServer ?: return
+        val startedAt = context.now()
+        val remaining = deadlineAt - startedAt
+        val head = context.protocol.serverRequest(request.message.head, server.id, RunPart.Prefill, remaining)
+        val call = SingleCall(
+            request = HttpRequestMessage(head, request.message.body),
+            connectTime = CONNECT_TIME,
+            answerTime = minOf(remaining, PREFILL_TIME + PREFILL_TIME_PER_TOKEN * request.caller.promptTokens),
+            maySend = { context.registry.findUsable(server.id, context.now()) != null },
+        ) { result ->
+            prefill = null
+            if (!finished) {
+                val handle = result.fold(
+                    success = { readHandle(it, place, startedAt) },
+                    failure = { notPrefilled(it, place, startedAt) },
+                )
+                startRun(place, handle ?: RunPart.Whole)
+            }
+        }
+        prefill = call
+        call.start(socketAddress(server.address), context.group)
+    }
+
+    private fun readHandle(response: HttpResponseMessage, place: GrantedPlace, startedAt: Timestamp): RunPart.Decode? {
+        val server = place.prefillServer ?: return null
+        val facts = context.protocol.readAnswer(response.head)
+        val handle = if (response.head.status == OK) context.protocol.readPrefillHandle(response.body) else null
+        val outcome = when {
+            handle != null -> PlaceOutcome.COMPLETED
+            facts.notRun -> PlaceOutcome.NOT_RUN
+            else -> PlaceOutcome.SERVER_FAILED
+        }
+        endPrefill(place, outcome, "status ${response.head.status}", startedAt, facts.slowdownPercent)
+        return handle?.let { RunPart.Decode(server.address, it) }?.also { openHandle = it }
+    }
+
+    private fun notPrefilled(end: CallEnd, place: GrantedPlace, startedAt: Timestamp): RunPart.Decode? {
+        when (end) {
+            is CallEnd.NotSent -> endPrefill(place, PlaceOutcome.UNREACHABLE, end.detail, startedAt, 0)
+            is CallEnd.Broken -> endPrefill(place, PlaceOutcome.SILENT, end.detail, startedAt, 0)
+            is CallEnd.Complete -> Unit
+        }
+        return null
+    }
+
+    private fun endPrefill(
+        place: GrantedPlace,
+        outcome: PlaceOutcome,
+        detail: String,
+        startedAt: Timestamp,
+        slowdownPercent: Int,
+    ) {
+        val server = place.prefillServer ?: return
+        val use = PlaceUse(outcome, elapsed = context.now() - startedAt, slowdownPercent = slowdownPercent)
+        context.dispatch.release(place, PlacePart.PREFILL, use)
+        logAttempt(server.id, "prefill", outcome.name.lowercase(), detail, startedAt)
+    }
+
+    private fun startRun(place: GrantedPlace, part: RunPart) {
+        val started = Run(place, part)
+        run = started
+        started.start()
+    }
+
+    override fun stopAttempt() {
+        prefill?.cancel()
+        prefill = null
+        run?.stop()
+        run = null
+        place?.let { release(it, PlaceOutcome.UNUSED) }
+        freeHandle()
+    }
+
+    /** Frees the memory of a prompt that nobody will fetch. */
+    private fun freeHandle() {
+        val handle = openHandle ?: return
+        val server = place?.prefillServer ?: return
+        openHandle = null
+        val free = context.protocol.freeHandle(server.id, handle.handle)
+        SingleCall(free, CONNECT_TIME, FREE_TIME) { result ->
+            result.fold(
+                success = {},
+                failure = { end -> log.info("handle_not_freed") { field("server", server.id); field("detail", end) } },
+            )
+        }.start(socketAddress(server.address), context.group)
+    }
+
+    override fun onDeadline() {
+        if (!begun) return super.onDeadline()
+        stopAttempt()
+        finish("broken", "deadline")
+        responder.abort()
+    }
+
+    private fun onRunEnd(ended: Run, end: RunEnd) {
+        run = null
+        when (end) {
+            is RunEnd.Completed -> completed(end)
+            is RunEnd.NotRun -> afterNotRun(ended, end)
+            is RunEnd.Broken -> afterBreak(ended, end)
+        }
+    }
+
+    private fun completed(end: RunEnd.Completed) {
+        if (!begun) return deliver(end.head, end.body)
+        finish("answered", end.head.status.toString())
+        responder.end()
+    }
+
+    private fun afterNotRun(ended: Run, end: RunEnd.NotRun) {
+        if (finished) return
+        val fetched = ended.part is RunPart.Decode
+        when {
+            fetched && end.received && context.directBudget.take(context.now()) -> {
+                openHandle = null
+                startRun(ended.place, RunPart.Whole)
+            }
+            arrivals < MAXIMUM_ARRIVALS && context.now() < deadlineAt -> {
+                release(ended.place, end.outcome)
+                freeHandle()
+                excluded += ended.place.server.id
+                ask(repeated = end.received)
+            }
+            else -> {
+                release(ended.place, end.outcome)
+                refuse("servers_full", SHORTEST_RETRY)
+            }
+        }
+    }
+
+    private fun afterBreak(ended: Run, end: RunEnd.Broken) {
+        release(ended.place, PlaceOutcome.BROKEN)
+        excluded += ended.place.server.id
+        val again = request.route.kind.idempotent && ranOn.size < request.route.maximumServers &&
+            arrivals < MAXIMUM_ARRIVALS
+        when {
+            finished -> Unit
+            begun -> {
+                finish("broken", end.detail)
+                responder.abort()
+            }
+            again -> ask(repeated = true)
+            else -> fail(BAD_GATEWAY, end.detail)
+        }
+    }
+
+    private inner class Run(val place: GrantedPlace, val part: RunPart) : ServerCallListener {
+        private val startedAt: Timestamp = context.now()
+        private val body = ByteArrayOutputStream()
+        private var call: ServerCall? = null
+        private var head: ResponseHead? = null
+        private var facts: ServerAnswer? = null
+        private var first: Duration = Duration.ZERO
+        private var over = false
+        private var cancelSilence: () -> Unit = {}
+
+        private val server = place.server
+
+        fun start() {
+            val remaining = deadlineAt - startedAt
+            val head = context.protocol.serverRequest(request.message.head, server.id, part, remaining)
+            val started = ServerCall(HttpRequestMessage(head, request.message.body), CONNECT_TIME, this)
+            call = started
+            started.start(socketAddress(server.address), context.group)
+        }
+
+        override fun maySend(): Boolean {
+            val usable = context.registry.findUsable(server.id, context.now()) != null
+            if (!usable || finished || context.now() >= deadlineAt) return false
+            arrivals += 1
+            mayHaveRun = true
+            ranOn += server.id
+            cancelSilence = context.at(context.now() + request.route.objective + SILENCE_EXTRA) { onSilence() }
+            return true
+        }
+
+        /** A resumable generation goes to another server; any other keeps waiting. */
+        private fun onSilence() {
+            if (over || head != null) return
+            logAttempt(server.id, "run", "silent", "no answer yet", startedAt)
+            val again = request.route.kind.idempotent && ranOn.size < request.route.maximumServers
+            if (!again) {
+                context.dispatch.release(place, PlacePart.RUN, PlaceUse(PlaceOutcome.SILENT))
+                return
+            }
+            stop()
+            context.dispatch.release(place, PlacePart.RUN, PlaceUse(PlaceOutcome.SILENT))
+            onRunEnd(this, RunEnd.Broken("server_silent"))
+        }
+
+        override fun onHead(head: ResponseHead) {
+            this.head = head
+            facts = context.protocol.readAnswer(head)
+            if (facts?.notRun != true) openHandle = null
+        }
+
+        private val streams: Boolean
+            get() = head?.status in SUCCESS && facts?.sealed == true && facts?.requestId == request.caller.id
+
+        override fun onPart(content: ByteBuf) {
+            val received = head
+            if (!streams || received == null) {
+                content.readBytes(body, content.readableBytes())
+                content.release()
+                return
+            }
+            if (first == Duration.ZERO) first = context.now() - startedAt
+            if (!begun) begin(received)
+            responder.sendPart(content)
+            if (!responder.isWritable) call?.setReading(false)
+        }
+
+        private fun begin(received: ResponseHead) {
+            begun = true
+            responder.onWritable = { call?.setReading(true) }
+            val length = received.header("content-length")?.toLongOrNull()
+            responder.begin(OwnAnswers.passedOn(received), length)
+        }
+
+        override fun onEnd(end: CallEnd) {
+            if (over) return
+            over = true
+            cancelSilence()
+            val result = resultOf(end)
+            val outcome = when (result) {
+                is RunEnd.Completed ->
+                    if (result.head.status in SUCCESS) PlaceOutcome.COMPLETED else PlaceOutcome.SERVER_FAILED
+                is RunEnd.NotRun -> result.outcome
+                is RunEnd.Broken -> PlaceOutcome.BROKEN
+            }
+            logAttempt(server.id, "run", outcome.name.lowercase(), result.detail, startedAt)
+            if (result is RunEnd.Completed) {
+                val elapsed = context.now() - startedAt
+                val use = PlaceUse(outcome, elapsed, first, facts?.slowdownPercent ?: 0)
+                context.dispatch.release(place, PlacePart.RUN, use)
+            }
+            onRunEnd(this, result)
+        }
+
+        private fun resultOf(end: CallEnd): RunEnd = when (end) {
+            is CallEnd.NotSent -> notRun(PlaceOutcome.UNREACHABLE, end.detail, received = false)
+            is CallEnd.Broken -> RunEnd.Broken(end.detail)
+            is CallEnd.Complete -> resultOf(head, facts)
+        }
+
+        private fun resultOf(head: ResponseHead?, facts: ServerAnswer?): RunEnd = when {
+            head == null || facts == null -> RunEnd.Broken("no head")
+            facts.notRun -> notRun(PlaceOutcome.NOT_RUN, "status ${head.status}", received = true)
+            facts.requestId != request.caller.id -> RunEnd.Broken("answer to another request")
+            !facts.sealed && head.status in SUCCESS -> RunEnd.Broken("answer without seal")
+            else -> RunEnd.Completed(head, body.toByteArray(), "status ${head.status} first ${first.inWholeMilliseconds}")
+        }
+
+        private fun notRun(outcome: PlaceOutcome, detail: String, received: Boolean): RunEnd {
+            ranOn -= server.id
+            if (ranOn.isEmpty()) mayHaveRun = false
+            return RunEnd.NotRun(outcome, detail, received)
+        }
+
+        fun stop() {
+            over = true
+            cancelSilence()
+            call?.cancel()
+        }
+    }
+
+    private sealed class RunEnd {
+        abstract val detail: String
+
+        class Completed(val head: ResponseHead, val body: ByteArray, override val detail: String) : RunEnd()
+
+        class NotRun(val outcome: PlaceOutcome, override val detail: String, val received: Boolean) : RunEnd()
+
+        class Broken(override val detail: String) : RunEnd()
+    }
+
+    private companion object {
+        const val OK = 200
+        val SUCCESS = 200..299
+
+        /** Servers that may receive the run of one request, those that reject it included. */
+        const val MAXIMUM_ARRIVALS = 3
+
+        /** Time for a prompt of no tokens, and for each token: four times what a free server needs. */
+        val PREFILL_TIME = 400.milliseconds
+        val PREFILL_TIME_PER_TOKEN = 120.microseconds
+
+        /** Time for the request that frees a handle. */
+        val FREE_TIME = 1.seconds
+
+        /** Time beyond the objective without an answer after which a server counts as silent. */
+        val SILENCE_EXTRA = 300.milliseconds
+    }
+}
--- /dev/null
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/OwnAnswers.kt
@@ -0,0 +1,53 @@
+/*
+ * The answers that this instance gives itself, and the form in which answers of servers are passed on.
+ */
+package org.arbutusnotch.forwarding.exchange
+
+import org.arbutusnotch.forwarding.http.ConnectionHeaders
+import org.arbutusnotch.forwarding.http.HeaderField
+import org.arbutusnotch.forwarding.http.ResponseHead
+import java.util.Locale
+import kotlin.time.Duration
+
+internal object OwnAnswers {
+    private const val SERVICE_UNAVAILABLE = 503
+    private const val NOT_FOUND = 404
+    private const val BAD_REQUEST = 400
+    private const val MILLIS_PER_SECOND = 1_000.0
+
+    /** Names the reason of an answer that no server gave. */
+    private const val REASON_HEADER = "X-Refusal-Reason"
+    private const val OUTCOME_HEADER = "X-Outcome"
+
+    /** Says that the request has not run and never will. */
+    fun refusal(reason: String, retryAfter: Duration): ResponseHead {
+        val seconds = String.format(Locale.ROOT, "%.3f", retryAfter.inWholeMilliseconds / MILLIS_PER_SECOND)
+        val headers = listOf(
+            HeaderField("Retry-After", seconds),
+            HeaderField(OUTCOME_HEADER, "not_run"),
+            HeaderField(REASON_HEADER, reason),
+        )
+        return ResponseHead(SERVICE_UNAVAILABLE, "Service Unavailable", headers)
+    }
+
+    /** Says that it is not known whether the request has run. */
+    fun failure(status: Int, reason: String): ResponseHead {
+        val phrase = if (status == GATEWAY_TIMEOUT) "Gateway Timeout" else "Bad Gateway"
+        return ResponseHead(
+            status,
+            phrase,
+            listOf(HeaderField(OUTCOME_HEADER, "unknown"), HeaderField(REASON_HEADER, reason)),
+        )
+    }
+
+    fun unknownRoute(): ResponseHead =
+        ResponseHead(NOT_FOUND, "Not Found", listOf(HeaderField(REASON_HEADER, "unknown_route")))
+
+    fun missingId(): ResponseHead =
+        ResponseHead(BAD_REQUEST, "Bad Request", listOf(HeaderField(REASON_HEADER, "missing_request_id")))
+
+    /** Returns the head of a server's answer without what concerns its connection. */
+    fun passedOn(head: ResponseHead): ResponseHead = head.copy(headers = ConnectionHeaders.passedOn(head))
+
+    private const val GATEWAY_TIMEOUT = 504
+}
--- /dev/null
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HeadWriter.kt
@@ -0,0 +1,54 @@
+/*
+ * Writes heads and chunks to the wire.
+ */
+package org.arbutusnotch.forwarding.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufAllocator
+import io.netty.buffer.Unpooled
+import java.nio.charset.StandardCharsets
+
+internal object HeadWriter {
+    private const val LINE_END = "\r\n"
+    private val lastChunk = "0\r\n\r\n".toByteArray(StandardCharsets.ISO_8859_1)
+    private val lineEnd = LINE_END.toByteArray(StandardCharsets.ISO_8859_1)
+
+    /** Encodes a request with its body. */
+    fun request(head: RequestHead, body: ByteArray, allocator: ByteBufAllocator): ByteBuf {
+        val framed = if (body.isEmpty() && !sendsLength(head.method)) {
+            head.headers
+        } else {
+            head.headers + HeaderField("Content-Length", body.size.toString())
+        }
+        val text = encode("${head.method} ${head.target} HTTP/1.1", framed)
+        return allocator.buffer(text.size + body.size).writeBytes(text).writeBytes(body)
+    }
+
+    /** Encodes the head of a response. */
+    fun response(head: ResponseHead, allocator: ByteBufAllocator): ByteBuf {
+        val text = encode("HTTP/1.1 ${head.status} ${head.reason}", head.headers)
+        return allocator.buffer(text.size).writeBytes(text)
+    }
+
+    /** Frames [content] as one chunk, and releases it into the result. */
+    fun chunk(content: ByteBuf): ByteBuf {
+        val size = Integer.toHexString(content.readableBytes()) + LINE_END
+        return Unpooled.wrappedBuffer(
+            Unpooled.wrappedBuffer(size.toByteArray(StandardCharsets.ISO_8859_1)),
+            content,
+            Unpooled.wrappedBuffer(lineEnd),
+        )
+    }
+
+    /** Returns the end of a chunked body. */
+    fun lastChunk(): ByteBuf = Unpooled.wrappedBuffer(lastChunk)
+
+    private fun sendsLength(method: String) = method == "POST" || method == "PUT" || method == "PATCH"
+
+    private fun encode(firstLine: String, headers: List<HeaderField>): ByteArray {
+        val text = StringBuilder(firstLine).append(LINE_END)
+        headers.forEach { text.append(it.name).append(": ").append(it.value).append(LINE_END) }
+        text.append(LINE_END)
+        return text.toString().toByteArray(StandardCharsets.ISO_8859_1)
+    }
+}
--- /dev/null
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/Message.kt
@@ -0,0 +1,75 @@
+/*
+ * HTTP messages as they are on the wire.
+ *
+ * Targets and header values are kept byte for byte: each character stands for one byte (ISO 8859-1), and nothing is
+ * decoded, normalized or joined. Backend servers compare what they receive with what the caller sent.
+ */
+package org.arbutusnotch.forwarding.http
+
+/** Holds one header line. */
+public data class HeaderField(public val name: String, public val value: String)
+
+/** Is implemented by the heads of requests and responses. */
+public sealed interface MessageHead {
+    /** The header lines in the order in which they were received. */
+    public val headers: List<HeaderField>
+
+    /** Returns the value of the first header line with [name], without regard to case. */
+    public fun header(name: String): String? = headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
+
+    /** Returns the number of header lines with [name]. */
+    public fun count(name: String): Int = headers.count { it.name.equals(name, ignoreCase = true) }
+}
+
+/** Holds the head of a request; [target] is the request target as received. */
+public data class RequestHead(
+    public val method: String,
+    public val target: String,
+    override val headers: List<HeaderField>,
+) : MessageHead {
+    /** The part of the target before the query. */
+    public val path: String
+        get() = target.substringBefore('?')
+}
+
+/** Holds the head of a response. */
+public data class ResponseHead(
+    public val status: Int,
+    public val reason: String,
+    override val headers: List<HeaderField>,
+) : MessageHead
+
+/** Holds a complete request. */
+public class HttpRequestMessage(public val head: RequestHead, public val body: ByteArray)
+
+/** Holds a complete response. */
+public class HttpResponseMessage(public val head: ResponseHead, public val body: ByteArray)
+
+/** Names the header lines that concern one connection only. */
+internal object ConnectionHeaders {
+    private val names = setOf(
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "content-length",
+    )
+
+    /**
+     * Returns the header lines of [head] that are passed on. A `Connection` header cannot remove the lines in
+     * [endToEnd]: backend servers need them as the caller sent them.
+     */
+    fun passedOn(head: MessageHead, endToEnd: Set<String> = emptySet()): List<HeaderField> {
+        val nominated = head.headers.filter { it.name.equals("connection", ignoreCase = true) }
+            .flatMap { it.value.split(',') }
+            .map { it.trim().lowercase() }
+            .filter { it !in endToEnd }
+        return head.headers.filter { it.name.lowercase() !in names && it.name.lowercase() !in nominated }
+    }
+}
--- /dev/null
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
@@ -0,0 +1,195 @@
+/*
+ * One request to a backend server, on a connection of its own.
+ *
+ * A connection carries a single request. A second answer, bytes after an answer and an answer that arrives late can
+ * then belong to no other request, and no request is lost on a connection that the server was about to close.
+ */
+package org.arbutusnotch.forwarding.http
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.ByteBuf
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioChannelOption
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import jdk.net.ExtendedSocketOptions
+import java.net.InetSocketAddress
+import kotlin.time.Duration
+
+/** Describes how a [ServerCall] ended. */
+internal sealed class CallEnd {
+    /** The answer is complete. */
+    data object Complete : CallEnd()
+
+    /** No byte of the request was sent. */
+    data class NotSent(val detail: String) : CallEnd()
+
+    /** The request may have been received, and the answer is missing or incomplete. */
+    data class Broken(val detail: String) : CallEnd()
+}
+
+/** Receives the parts of an answer, on the event loop. */
+internal interface ServerCallListener {
+    /** Decides immediately before the request is sent whether it still may be; false ends the call as not sent. */
+    fun maySend(): Boolean = true
+
+    /** The head of the answer arrived. */
+    fun onHead(head: ResponseHead)
+
+    /** A part of the body arrived; the receiver takes over [content]. */
+    fun onPart(content: ByteBuf)
+
+    /** The call ended; called once, unless the call was cancelled. */
+    fun onEnd(end: CallEnd)
+}
+
+internal class ServerCall(
+    private val request: HttpRequestMessage,
+    private val connectTime: Duration,
+    private val listener: ServerCallListener,
+) {
+    private var channel: Channel? = null
+    private var ended = false
+    private var failure: String? = null
+    private var answered = false
+
+    /** Connects to [address] and sends the request. */
+    fun start(address: InetSocketAddress, group: EventLoopGroup) {
+        val connecting = Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_KEEPALIVE, true)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTime.inWholeMilliseconds.toInt())
+            .handler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(opened: SocketChannel) {
+                    opened.pipeline().addLast(AnswerDecoder(isHead = request.head.method == "HEAD"), Receiver())
+                }
+            })
+            .connect(address)
+        channel = connecting.channel()
+        connecting.addListener { connected ->
+            if (!connected.isSuccess) end(CallEnd.NotSent(describe(connected.cause()))) else send()
+        }
+    }
+
+    private fun send() {
+        val opened = channel ?: return
+        if (ended) return
+        if (!listener.maySend()) {
+            end(CallEnd.NotSent("no longer allowed"))
+            return
+        }
+        val bytes = HeadWriter.request(request.head, request.body, opened.alloc())
+        opened.writeAndFlush(bytes).addListener { written ->
+            if (!written.isSuccess && failure == null) failure = describe(written.cause())
+        }
+    }
+
+    /** Closes the connection; the listener hears no more. */
+    fun cancel() {
+        ended = true
+        channel?.close()
+    }
+
+    /** Stops or resumes reading, so that a caller that reads slowly slows the server down. */
+    fun setReading(reading: Boolean) {
+        channel?.config()?.isAutoRead = reading
+    }
+
+    private fun end(end: CallEnd) {
+        if (ended) return
+        ended = true
+        channel?.close()
+        listener.onEnd(end)
+    }
+
+    private fun describe(cause: Throwable?): String = cause?.message ?: cause?.javaClass?.simpleName ?: "unknown"
+
+    private inner class Receiver : ChannelInboundHandlerAdapter() {
+        private var interim = false
+
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (message !is HttpObject || ended) {
+                ReferenceCountUtil.release(message)
+                return
+            }
+            if (message.decoderResult().isFailure) {
+                ReferenceCountUtil.release(message)
+                end(CallEnd.Broken("malformed answer: ${describe(message.decoderResult().cause())}"))
+                return
+            }
+            if (message is HttpResponse) receiveHead(message)
+            if (message is HttpContent) receiveContent(message)
+        }
+
+        private fun receiveHead(response: HttpResponse) {
+            interim = response.status().code() < FIRST_FINAL_STATUS
+            if (interim) return
+            answered = true
+            val headers = response.headers().entries().map { HeaderField(it.key, it.value) }
+            listener.onHead(ResponseHead(response.status().code(), response.status().reasonPhrase(), headers))
+        }
+
+        private fun receiveContent(content: HttpContent) {
+            val last = content is LastHttpContent
+            if (interim || ended || !answered) {
+                content.release()
+                return
+            }
+            // The decoder also ends a body without a length when the connection is reset.
+            val reset = failure
+            if (last && reset != null) {
+                content.release()
+                end(CallEnd.Broken(reset))
+                return
+            }
+            if (content.content().isReadable) listener.onPart(content.content()) else content.release()
+            if (last) end(CallEnd.Complete)
+        }
+
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            failure = describe(cause)
+            context.close()
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            end(CallEnd.Broken(failure ?: "connection closed before the end of the answer"))
+        }
+    }
+
+    private companion object {
+        const val FIRST_FINAL_STATUS = 200
+
+        /** Idle time before the first probe, and between probes: a silent connection is found after three seconds. */
+        const val KEEPALIVE_SECONDS = 1
+        const val KEEPALIVE_PROBES = 2
+    }
+}
+
+/** Decodes one answer; an answer to a HEAD request has no body. */
+private class AnswerDecoder(private val isHead: Boolean) :
+    HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEAD).setMaxChunkSize(MAXIMUM_PART)) {
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isHead || super.isContentAlwaysEmpty(message)
+
+    private companion object {
+        const val MAXIMUM_HEAD = 65_536
+        const val MAXIMUM_PART = 65_536
+    }
+}
--- /dev/null
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
@@ -0,0 +1,96 @@
+/*
+ * Finds the other instances and tells them of this one, by gossip over the peer link.
+ */
+package org.arbutusnotch.forwarding.membership
+
+import org.arbutusnotch.core.id.InstanceAddress
+import org.arbutusnotch.core.id.InstanceId
+import org.arbutusnotch.core.membership.InstanceTable
+import org.arbutusnotch.core.membership.InstanceView
+import org.arbutusnotch.core.membership.MembershipEvent
+import org.arbutusnotch.core.message.Gossip
+import org.arbutusnotch.core.message.InstanceRow
+import org.arbutusnotch.core.message.InstanceState
+import org.arbutusnotch.core.message.RevisionMark
+import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.telemetry.EventLog
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+internal class Membership(own: InstanceRow, private val link: PeerLink, private val random: Random) {
+    private val log = EventLog("membership")
+    private val table = InstanceTable(own)
+    private var nextGossip = Timestamp(0)
+    private var hurriedGossips = HURRIED_GOSSIPS
+
+    val self: InstanceId
+        get() = table.self
+
+    val state: InstanceState
+        get() = table.ownRow.state
+
+    /** Instances that are given to callers and that dispatch; this one is among them while it serves. */
+    fun serving(): List<InstanceView> = table.views().filter { it.acceptsNewWork }
+
+    /** Instances with which messages were exchanged lately, without this one. */
+    fun reachablePeers(): List<InstanceView> = table.reachablePeers()
+
+    fun replaceSeeds(seeds: List<InstanceAddress>) {
+        table.seeds = seeds
+    }
+
+    /** Changes what the other instances learn of this one, and tells some of them at once. */
+    fun describe(state: InstanceState = this.state, inForce: RevisionMark? = table.ownRow.inForce) {
+        if (state == this.state && inForce == table.ownRow.inForce) return
+        table.describeOwn(state = state, inForce = inForce)
+        nextGossip = Timestamp(0)
+        hurriedGossips = HURRIED_GOSSIPS
+    }
+
+    fun onGossip(gossip: Gossip, now: Timestamp) {
+        report(table.merge(gossip.rows, now))
+        report(table.mergeHeartbeats(gossip.heartbeats, now))
+    }
+
+    fun markUnreachable(address: InstanceAddress) {
+        report(table.markUnreachable(address))
+    }
+
+    fun tick(now: Timestamp) {
+        report(table.tick(now))
+        if (now < nextGossip) return
+        val hurried = hurriedGossips > 0
+        if (hurried) hurriedGossips--
+        nextGossip = now + if (hurried) HURRIED_INTERVAL else INTERVAL
+        table.beat()
+        val gossip = Gossip(table.self, table.rowsToSend(), table.heartbeatsToSend())
+        table.gossipTargets(random).forEach { link.send(it, gossip) }
+    }
+
+    private fun report(events: List<MembershipEvent>) {
+        events.forEach { event ->
+            log.info("instance_view_changed") {
+                field("change", event::class.simpleName)
+                field("instance", instanceOf(event))
+                field("serving", serving().size)
+            }
+        }
+    }
+
+    private fun instanceOf(event: MembershipEvent): InstanceId = when (event) {
+        is MembershipEvent.BecameReachable -> event.instance
+        is MembershipEvent.BecameUnreachable -> event.instance
+        is MembershipEvent.Replaced -> event.current
+        is MembershipEvent.Removed -> event.instance
+        is MembershipEvent.OwnAddressTaken -> event.current
+    }
+
+    private companion object {
+        /** Time between two gossips. */
+        val INTERVAL = 250.milliseconds
+
+        /** Time between the first gossips after a start or a change. */
+        val HURRIED_INTERVAL = 60.milliseconds
+        const val HURRIED_GOSSIPS = 8
+    }
+}
--- /dev/null
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/PeerLink.kt
@@ -0,0 +1,82 @@
+/*
+ * Datagrams between instances.
+ *
+ * Every message is small, is repeated by its sender until it is answered or outdated, and is worth nothing when it is
+ * late. A connection would deliver messages behind lost ones late, and would have to be watched for silence.
+ */
+package org.arbutusnotch.forwarding.membership
+
+import com.github.michaelbull.result.fold
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.FixedRecvByteBufAllocator
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import org.arbutusnotch.core.id.InstanceAddress
+import org.arbutusnotch.core.message.PeerMessage
+import org.arbutusnotch.forwarding.http.socketAddress
+import org.arbutusnotch.peer.PeerMessageCodec
+import org.arbutusnotch.telemetry.EventLog
+import java.net.InetSocketAddress
+
+/** Sends and receives the messages of the instance at [self]. */
+internal class PeerLink(private val self: InstanceAddress, private val group: EventLoopGroup) {
+    private val log = EventLog("peers")
+    private var channel: Channel? = null
+
+    /** Receives each message with the address of its sender, on the event loop. */
+    var onMessage: (PeerMessage, InstanceAddress) -> Unit = { _, _ -> }
+
+    /** Binds the own address; throws [java.net.BindException] when it is taken. */
+    fun open() {
+        channel = Bootstrap()
+            .group(group)
+            .channel(NioDatagramChannel::class.java)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, FixedRecvByteBufAllocator(MAXIMUM_BYTES))
+            .handler(Receiver())
+            .bind(socketAddress(self.value)).sync().channel()
+    }
+
+    /** Sends [message] to [target]; it may be lost. */
+    fun send(target: InstanceAddress, message: PeerMessage) {
+        val bytes = PeerMessageCodec.encode(message)
+        if (bytes.size > MAXIMUM_BYTES) {
+            log.warn("message_too_large") { field("bytes", bytes.size) }
+            return
+        }
+        channel?.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), socketAddress(target.value)))
+    }
+
+    private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
+            val bytes = ByteArray(packet.content().readableBytes())
+            packet.content().readBytes(bytes)
+            PeerMessageCodec.decode(bytes).fold(
+                success = { onMessage(it, addressOf(packet.sender())) },
+                failure = { detail ->
+                    log.warn("malformed_message") {
+                        field("sender", packet.sender())
+                        field("detail", detail)
+                    }
+                },
+            )
+        }
+
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            log.warn("datagram_failed", cause)
+        }
+    }
+
+    private fun addressOf(sender: InetSocketAddress) =
+        InstanceAddress("${sender.address.hostAddress}:${sender.port}")
+
+    private companion object {
+        /** Largest payload of a UDP datagram over IPv4, less room for headers. */
+        const val MAXIMUM_BYTES = 60_000
+    }
+}
--- a/arbutusnotch-peer/src/main/kotlin/org/arbutusnotch/peer/FrameCodec.kt
+++ b/arbutusnotch-peer/src/main/kotlin/org/arbutusnotch/peer/FrameCodec.kt
@@ -19,7 +19,6 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
-import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.serializer
 import org.arbutusnotch.core.message.PeerMessage
 import java.util.concurrent.ConcurrentHashMap
@@ -98,13 +97,6 @@
 internal fun messageType(message: PeerMessage): String =
     messageTypes.computeIfAbsent(message.javaClass) { serializer(it).descriptor.serialName }
 
-/** Encodes every message between instances; unknown keys are skipped, so that instances of two versions can talk. */
-internal val peerCbor: Cbor = Cbor {
-    ignoreUnknownKeys = true
-    encodeDefaults = false
-    useDefiniteLengthEncoding = true
-}
-
 private val messageTypes = ConcurrentHashMap<Class<out PeerMessage>, String>()
 
 private const val LENGTH_BYTES = 4
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/telemetry/EventLog.kt
+++ b/arbutusnotch-telemetry/src/main/kotlin/org/arbutusnotch/telemetry/EventLog.kt
@@ -1,7 +1,7 @@
 /*
  * Writes log events as key=value pairs.
  */
-package org.arbutusnotch.daemon.telemetry
+package org.arbutusnotch.telemetry
 
 import io.github.oshai.kotlinlogging.KLogger
 import io.github.oshai.kotlinlogging.KotlinLogging
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/telemetry/EventMessageConverter.kt
+++ b/arbutusnotch-telemetry/src/main/kotlin/org/arbutusnotch/telemetry/EventMessageConverter.kt
@@ -1,7 +1,7 @@
 /*
  * Brings every log event, including those of libraries, into the form of one line of key=value pairs.
  */
-package org.arbutusnotch.daemon.telemetry
+package org.arbutusnotch.telemetry
 
 import ch.qos.logback.classic.pattern.ThrowableHandlingConverter
 import ch.qos.logback.classic.spi.ILoggingEvent
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/telemetry/KeyValueText.kt
+++ b/arbutusnotch-telemetry/src/main/kotlin/org/arbutusnotch/telemetry/KeyValueText.kt
@@ -1,7 +1,7 @@
 /*
  * The text form of log events: key=value pairs on one line.
  */
-package org.arbutusnotch.daemon.telemetry
+package org.arbutusnotch.telemetry
 
 /** Returns [value] as it stands after `key=`: quoted and escaped when it would not be one word otherwise. */
 internal fun keyValueText(value: Any?): String {
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/MonotonicClock.kt
+++ b/arbutusnotch-telemetry/src/main/kotlin/org/arbutusnotch/telemetry/MonotonicClock.kt
@@ -2,17 +2,17 @@
  * The clock of the daemon. It starts at the wall clock and then follows the monotonic clock of the JVM, so that a step
  * of the wall clock cannot shorten or extend a deadline.
  */
-package org.arbutusnotch.daemon.control
+package org.arbutusnotch.telemetry
 
 import org.arbutusnotch.core.time.Timestamp
 
 /** Tells the time; it never goes back. */
-internal fun interface Clock {
-    fun now(): Timestamp
+public fun interface Clock {
+    public fun now(): Timestamp
 }
 
 /** Implements [Clock] by monotonic time on top of the wall clock at construction. */
-internal class MonotonicClock : Clock {
+public class MonotonicClock : Clock {
     private val startEpochMillis = System.currentTimeMillis()
     private val startNanos = System.nanoTime()
 
--- a/arbutusnotch-daemon/src/test/kotlin/org/arbutusnotch/daemon/telemetry/EventLogTest.kt
+++ b/arbutusnotch-telemetry/src/test/kotlin/org/arbutusnotch/telemetry/EventLogTest.kt
@@ -1,7 +1,7 @@
 /*
  * Log events as one line of key=value pairs.
  */
-package org.arbutusnotch.daemon.telemetry
+package org.arbutusnotch.telemetry
 
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.LoggerContext
