--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -10,6 +10,7 @@
 import org.arbutusnotch.core.message.DispatchRelease
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.message.PlacePart
+import org.arbutusnotch.core.straggler.SpeedEstimate
 import org.arbutusnotch.core.time.Timestamp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
@@ -40,6 +41,9 @@
     /** Returns the time that the request usually needs until its answer or first event. */
     abstract fun usualTime(entry: WaitingRequest, now: Timestamp): Duration
 
+    /** Returns the time that the run is expected to take after its first event. */
+    open fun runTime(entry: WaitingRequest): Duration = Duration.ZERO
+
     protected fun medianPerUnit(stages: Set<ServerStage>): Duration? {
         val known = ledgers.values.filter { it.server.stage in stages }.mapNotNull { it.speed.perUnit }.sorted()
         return known.getOrNull(known.size / 2)
@@ -113,8 +117,11 @@
  * Places generations: a prefill server that reads the prompt soonest, and a decode server with memory for the whole
  * request. The decode memory is reserved first, because a prompt that was read is kept for less than a second.
  */
-internal class GenerationPlaceSelection(ledgers: Map<BackendServerId, ServerLedger>, private val engine: EngineProfile) :
-    PlaceSelection(ledgers) {
+internal class GenerationPlaceSelection(
+    ledgers: Map<BackendServerId, ServerLedger>,
+    private val engine: EngineProfile,
+    private val outputSpeed: SpeedEstimate,
+) : PlaceSelection(ledgers) {
     override fun place(entry: WaitingRequest, now: Timestamp): PlacedRequest? {
         val work = entry.work as? DispatchWork.Generation ?: return null
         val decode = ledgers.values
@@ -141,7 +148,9 @@
     private fun noPrefillServer(entry: WaitingRequest, now: Timestamp): Boolean =
         ledgers.values.none { it.server.stage == ServerStage.PREFILL && mayTake(it, entry, now) }
 
-    private fun memory(work: DispatchWork.Generation): Int = work.promptTokens + work.outputTokens
+    /** Memory grows with the output, so that a run holds only a part of it on average. */
+    private fun memory(work: DispatchWork.Generation): Int =
+        work.promptTokens + (work.outputTokens * AVERAGE_OUTPUT).toInt()
 
     private fun hasRoom(ledger: ServerLedger, work: DispatchWork.Generation): Boolean {
         val used = ledger.usedTokens
@@ -160,13 +169,29 @@
     }
 
     override fun observe(ledger: ServerLedger, place: UsedPlace, release: DispatchRelease, now: Timestamp) {
-        if (release.part != PlacePart.PREFILL) return
+        if (release.part == PlacePart.RUN) {
+            observeRun(place, release, now)
+            return
+        }
         val tokens = place.tokensAhead + place.tokens + OVERHEAD_TOKENS
         val elapsed = release.elapsedMillis.milliseconds / ledger.slowdown(now)
         ledger.speed.observe(units = tokens.toDouble(), elapsed = elapsed, count = 1, now = now)
     }
 
-    override fun leastTime(entry: WaitingRequest, now: Timestamp): Duration = promptTime(entry)
+    private fun observeRun(place: UsedPlace, release: DispatchRelease, now: Timestamp) {
+        if (place.readsPrompt || place.outputTokens == 0) return
+        val elapsed = release.elapsedMillis.milliseconds
+        outputSpeed.observe(units = place.outputTokens.toDouble(), elapsed = elapsed, count = 1, now = now)
+    }
+
+    override fun runTime(entry: WaitingRequest): Duration {
+        val work = entry.work as? DispatchWork.Generation ?: return Duration.ZERO
+        return (outputSpeed.perUnit ?: Duration.ZERO) * work.outputTokens
+    }
+
+    /** A caller that leaves before the end of its stream has got nothing, so the whole run must fit. */
+    override fun leastTime(entry: WaitingRequest, now: Timestamp): Duration =
+        promptTime(entry) + runTime(entry) * LEAST_RUN
 
     override fun usualTime(entry: WaitingRequest, now: Timestamp): Duration = promptTime(entry) + FIRST_EVENT
 
@@ -187,6 +212,12 @@
         /** Share of an engine's memory that is given out; the rest absorbs outputs that are longer than expected. */
         const val USABLE_MEMORY = 0.95
 
+        /** Part of the output that a run holds on average, with a margin for outputs that are longer than expected. */
+        const val AVERAGE_OUTPUT = 0.7
+
+        /** Part of the expected run that must fit before the caller leaves; expectations are often far off. */
+        const val LEAST_RUN = 0.7
+
         /** Load, as a share of memory, at which a server in another failure domain is preferred. */
         const val DISTANCE_SHARE = 0.05
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -23,6 +23,7 @@
 import org.arbutusnotch.core.message.PlaceOutcome
 import org.arbutusnotch.core.message.PlacePart
 import org.arbutusnotch.core.retry.RetryBudget
+import org.arbutusnotch.core.straggler.SpeedEstimate
 import org.arbutusnotch.core.time.Timestamp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -33,6 +34,9 @@
     private val waiting = LinkedHashMap<TicketId, WaitingRequest>()
     private val recentGrants = LinkedHashMap<TicketId, RecentGrant>()
     private val throughput = GrantRate()
+
+    /** Time for one expected output token of a generation. */
+    private val outputSpeed = SpeedEstimate(OUTPUT_SPEED_WEIGHT)
     private var selection: PlaceSelection = CallPlaceSelection(ledgers)
 
     /** Number of requests that wait. */
@@ -45,7 +49,7 @@
 
     /** Takes over the servers that may get new work; [engine] is null for a pool of plain calls. */
     public fun configure(servers: List<BackendServer>, engine: EngineProfile?) {
-        selection = if (engine == null) CallPlaceSelection(ledgers) else GenerationPlaceSelection(ledgers, engine)
+        selection = if (engine == null) CallPlaceSelection(ledgers) else GenerationPlaceSelection(ledgers, engine, outputSpeed)
         val listed = servers.associateBy { it.id }
         ledgers.keys.retainAll(listed.keys)
         servers.forEach { server ->
@@ -115,6 +119,7 @@
         ledger.places[key] = UsedPlace(
             holder = holder,
             tokens = held.tokens,
+            outputTokens = 0,
             readsPrompt = false,
             tokensAhead = 0,
             grantedAt = now,
@@ -160,11 +165,14 @@
         return decisions
     }
 
-    /** Orders requests that can be on time before late ones, then by priority and objective. */
+    /**
+     * Orders requests that can be on time before late ones, then by priority and objective. A long run counts as if its
+     * objective were later: while places are short, several short runs are served in the time of a long one.
+     */
     private fun inOrder(now: Timestamp): List<WaitingRequest> = waiting.values.sortedWith(
         compareBy<WaitingRequest> { now + selection.usualTime(it, now) > it.objectiveAt }
             .thenBy { it.priority }
-            .thenBy { it.objectiveAt },
+            .thenBy { it.objectiveAt + selection.runTime(it) * SHORT_RUN_PREFERENCE },
     )
 
     private fun grant(entry: WaitingRequest, places: PlacedRequest, now: Timestamp): DispatchDecision {
@@ -185,6 +193,7 @@
         place.ledger.places[PlaceKey(entry.ticket, part)] = UsedPlace(
             holder = entry.holder,
             tokens = place.tokens,
+            outputTokens = (entry.work as? DispatchWork.Generation)?.outputTokens ?: 0,
             readsPrompt = place.readsPrompt,
             tokensAhead = place.tokensAhead,
             grantedAt = now,
@@ -210,6 +219,12 @@
         /** Time that a grant may need to its holder and the holder's next report back. */
         val GRANT_TRANSIT = 700.milliseconds
 
+        /** Weight of one run in the time for an output token; expectations of single runs are often far off. */
+        const val OUTPUT_SPEED_WEIGHT = 0.05
+
+        /** Share of its expected run by which a request is put back; a long run still passes after a second or so. */
+        const val SHORT_RUN_PREFERENCE = 0.1
+
         /** Shortest time after which a refused request may come again. */
         val SHORTEST_RETRY = 200.milliseconds
     }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerLedger.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerLedger.kt
@@ -18,12 +18,14 @@
  * Describes a place in use.
  *
  * @property tokens memory that the place takes, or prompt tokens to read for [PlacePart.PREFILL]
+ * @property outputTokens tokens that the request is expected to generate
  * @property readsPrompt whether the server also reads the prompt
  * @property expiresAt time at which the place is free unless its holder reports it again
  */
 internal class UsedPlace(
     val holder: InstanceId,
     val tokens: Int,
+    val outputTokens: Int,
     val readsPrompt: Boolean,
     val tokensAhead: Int,
     val grantedAt: Timestamp,
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
@@ -69,8 +69,15 @@
      * Returns the head for [server] that runs [part] of the request within [remaining].
      *
      * @param head head of the caller's request without the header lines that concern its connection
+     * @param resumeAfter identifier of the event after which the stream goes on; null for one that begins
      */
-    public fun serverRequest(head: RequestHead, server: BackendServerId, part: RunPart, remaining: Duration): RequestHead
+    public fun serverRequest(
+        head: RequestHead,
+        server: BackendServerId,
+        part: RunPart,
+        remaining: Duration,
+        resumeAfter: String? = null,
+    ): RequestHead
 
     /** Returns what the head of an answer says. */
     public fun readAnswer(head: ResponseHead): ServerAnswer
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
@@ -48,6 +48,7 @@
             field("pool", pool)
             field("remaining_millis", caller.remaining?.inWholeMilliseconds)
             field("prompt_tokens", caller.promptTokens)
+            field("output_tokens", caller.expectedOutputTokens ?: caller.maximumOutputTokens)
         }
         val exchange = when (route.kind) {
             is RouteKind.Generation -> GenerationExchange(context, routed, responder)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -8,6 +8,7 @@
 
 import com.github.michaelbull.result.fold
 import io.netty.buffer.ByteBuf
+import org.arbutusnotch.core.message.DispatchRefusal
 import org.arbutusnotch.core.message.PlaceOutcome
 import org.arbutusnotch.core.message.PlacePart
 import org.arbutusnotch.core.time.Timestamp
@@ -37,6 +38,8 @@
     private var run: Run? = null
     private var arrivals = 0
     private var begun = false
+    private val resumable = request.route.kind.idempotent
+    private val relay = EventRelay(wholeEvents = resumable)
 
     /** A prompt that was read and whose memory was not taken yet. */
     private var openHandle: RunPart.Decode? = null
@@ -57,7 +60,13 @@
         val server = place.prefillServer ?: return
         val startedAt = context.now()
         val remaining = deadlineAt - startedAt
-        val head = context.protocol.serverRequest(request.message.head, server.id, RunPart.Prefill, remaining)
+        val head = context.protocol.serverRequest(
+            head = request.message.head,
+            server = server.id,
+            part = RunPart.Prefill,
+            remaining = remaining,
+            resumeAfter = relay.lastIdentifier,
+        )
         val call = SingleCall(
             request = HttpRequestMessage(head, request.message.body),
             connectTime = CONNECT_TIME,
@@ -144,7 +153,17 @@
     override fun onDeadline() {
         if (!begun) return super.onDeadline()
         stopAttempt()
-        finish("broken", "deadline")
+        breakOff("deadline")
+    }
+
+    override fun onNoPlace(reason: DispatchRefusal, retryAfter: Duration) {
+        if (begun) breakOff(reason.code()) else super.onNoPlace(reason, retryAfter)
+    }
+
+    /** Ends a stream that has begun and cannot go on. */
+    private fun breakOff(reason: String) {
+        if (finished) return
+        finish("broken", reason)
         responder.abort()
     }
 
@@ -158,9 +177,15 @@
     }
 
     private fun completed(end: RunEnd.Completed) {
-        if (!begun) return deliver(end.head, end.body)
-        finish("answered", end.head.status.toString())
-        responder.end()
+        when {
+            !begun -> deliver(end.head, end.body)
+            end.head.status !in SUCCESS -> breakOff("status ${end.head.status}")
+            else -> {
+                finish("answered", end.head.status.toString())
+                responder.sendPart(relay.rest())
+                responder.end()
+            }
+        }
     }
 
     private fun afterNotRun(ended: Run, end: RunEnd.NotRun) {
@@ -179,7 +204,8 @@
             }
             else -> {
                 release(ended.place, end.outcome)
-                refuse("servers_full", SHORTEST_RETRY)
+                freeHandle()
+                if (begun) breakOff("servers_full") else refuse("servers_full", SHORTEST_RETRY)
             }
         }
     }
@@ -187,15 +213,14 @@
     private fun afterBreak(ended: Run, end: RunEnd.Broken) {
         release(ended.place, PlaceOutcome.BROKEN)
         excluded += ended.place.server.id
-        val again = request.route.kind.idempotent && ranOn.size < request.route.maximumServers &&
-            arrivals < MAXIMUM_ARRIVALS
+        val again = resumable && ranOn.size < request.route.maximumServers && arrivals < MAXIMUM_ARRIVALS
         when {
             finished -> Unit
-            begun -> {
-                finish("broken", end.detail)
-                responder.abort()
+            again -> {
+                relay.dropIncomplete()
+                ask(repeated = true)
             }
-            again -> ask(repeated = true)
+            begun -> breakOff(end.detail)
             else -> fail(BAD_GATEWAY, end.detail)
         }
     }
@@ -214,7 +239,13 @@
 
         fun start() {
             val remaining = deadlineAt - startedAt
-            val head = context.protocol.serverRequest(request.message.head, server.id, part, remaining)
+            val head = context.protocol.serverRequest(
+                head = request.message.head,
+                server = server.id,
+                part = part,
+                remaining = remaining,
+                resumeAfter = relay.lastIdentifier,
+            )
             val started = ServerCall(HttpRequestMessage(head, request.message.body), CONNECT_TIME, this)
             call = started
             started.start(socketAddress(server.address), context.group)
@@ -234,7 +265,7 @@
         private fun onSilence() {
             if (over || head != null) return
             logAttempt(server.id, "run", "silent", "no answer yet", startedAt)
-            val again = request.route.kind.idempotent && ranOn.size < request.route.maximumServers
+            val again = resumable && ranOn.size < request.route.maximumServers
             if (!again) {
                 context.dispatch.release(place, PlacePart.RUN, PlaceUse(PlaceOutcome.SILENT))
                 return
@@ -262,14 +293,14 @@
             }
             if (first == Duration.ZERO) first = context.now() - startedAt
             if (!begun) begin(received)
-            responder.sendPart(content)
+            responder.sendPart(relay.pass(content))
             if (!responder.isWritable) call?.setReading(false)
         }
 
         private fun begin(received: ResponseHead) {
             begun = true
             responder.onWritable = { call?.setReading(true) }
-            val length = received.header("content-length")?.toLongOrNull()
+            val length = if (resumable) null else received.header("content-length")?.toLongOrNull()
             responder.begin(OwnAnswers.passedOn(received), length)
         }
 
@@ -304,9 +335,12 @@
             facts.notRun -> notRun(PlaceOutcome.NOT_RUN, "status ${head.status}", received = true)
             facts.requestId != request.caller.id -> RunEnd.Broken("answer to another request")
             !facts.sealed && head.status in SUCCESS -> RunEnd.Broken("answer without seal")
-            else -> RunEnd.Completed(head, body.toByteArray(), "status ${head.status} first ${first.inWholeMilliseconds}")
+            else -> RunEnd.Completed(head, body.toByteArray(), describe(head))
         }
 
+        private fun describe(head: ResponseHead) =
+            "status ${head.status}, first event after ${first.inWholeMilliseconds} ms, ${relay.events} events"
+
         private fun notRun(outcome: PlaceOutcome, detail: String, received: Boolean): RunEnd {
             ranOn -= server.id
             if (ranOn.isEmpty()) mayHaveRun = false
