Test forwarding from raw sockets, and answer a head that is never completed

The decoder passes nothing on until a head is complete, so a connection with half a head was only closed by the idle limit (HostileRequestTest, half sent head: no answer within 8 s). Arriving bytes now start the time of the head.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
@@ -23,6 +23,7 @@
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.nio.charset.StandardCharsets
+import kotlin.time.Duration.Companion.seconds
 
 /** Answers one request. Every method is called on the event loop; calls after the caller left have no effect. */
 public interface Responder {
@@ -63,6 +64,9 @@
     private var rejected = false
     private var idleSince: Timestamp = clock.now()
 
+    /** Time by which a head that has begun must be complete; null between requests. */
+    private var headDeadline: Timestamp? = null
+
     /** Whether the connection ends with its next answer. */
     var closesAfterAnswer = false
 
@@ -73,6 +77,11 @@
         this.context = context
     }
 
+    /** Notes that bytes arrived; the decoder passes on nothing until a head is complete. */
+    fun noteBytes() {
+        if (headDeadline == null && current == null && receiving == null) headDeadline = clock.now() + limits.headTime
+    }
+
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         if (message !is HttpObject) {
             ReferenceCountUtil.release(message)
@@ -117,7 +126,8 @@
         if (expected != null && expected.equals("100-continue", ignoreCase = true)) {
             context?.writeAndFlush(Unpooled.copiedBuffer(CONTINUE, StandardCharsets.ISO_8859_1))
         }
-        receiving = ReceivingRequest(head, headDeadline = clock.now() + limits.headTime)
+        headDeadline = null
+        receiving = ReceivingRequest(head, bodyDeadline = clock.now() + BODY_TIME)
     }
 
     private fun receiveContent(content: HttpContent) {
@@ -194,15 +204,15 @@
     /** Answers a request that takes too long to arrive, and closes the connection when it is idle for too long. */
     fun closeIfOverdue(inForce: CallerLimits) {
         val now = clock.now()
-        val request = receiving
+        val receivingUntil = receiving?.bodyDeadline ?: headDeadline
         when {
             current != null || rejected -> Unit
-            request != null -> if (now >= request.headDeadline + BODY_TIME) reject(RequestFault.NOT_READ_IN_TIME)
+            receivingUntil != null -> if (now >= receivingUntil) reject(RequestFault.NOT_READ_IN_TIME)
             now >= idleSince + inForce.idleTime -> close()
         }
     }
 
-    private class ReceivingRequest(val head: RequestHead, val headDeadline: Timestamp) {
+    private class ReceivingRequest(val head: RequestHead, val bodyDeadline: Timestamp) {
         val body = ByteArrayOutputStream()
     }
 
@@ -276,7 +286,7 @@
         /** Bytes that a deferred head is counted with. */
         const val HEAD_ESTIMATE = 512
 
-        /** Time for a body after the head's; a body has no limit of its own. */
-        val BODY_TIME = kotlin.time.Duration.parse("10s")
+        /** Time for a body after its head; the configured limits give none. */
+        val BODY_TIME = 10.seconds
     }
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
@@ -5,6 +5,8 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -79,7 +81,7 @@
             .setMaxInitialLineLength(inForce.headBytes)
             .setMaxHeaderSize(inForce.headBytes)
             .setMaxChunkSize(CHUNK_BYTES)
-        accepted.pipeline().addLast(HttpRequestDecoder(decoding), connection)
+        accepted.pipeline().addLast(ArrivalNote(connection), HttpRequestDecoder(decoding), connection)
     }
 
     /** Closes connections that exceed their times; called a few times a second on the event loop. */
@@ -100,6 +102,14 @@
         connections.toList().filter { !it.isBusy }.forEach { it.close() }
     }
 
+    /** Tells [connection] of bytes before they are decoded. */
+    private class ArrivalNote(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            connection.noteBytes()
+            context.fireChannelRead(message)
+        }
+    }
+
     private companion object {
         /** Connections that wait to be accepted; a full queue costs a caller a second. */
         const val BACKLOG = 1_024
--- /dev/null
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/GenerationTest.kt
@@ -0,0 +1,183 @@
+/*
+ * Generations over separate servers for prompt and events.
+ */
+package org.arbutusnotch.forwarding
+
+import org.arbutusnotch.core.forwarding.ServerStage
+import org.arbutusnotch.forwarding.fixture.AnswerWriter
+import org.arbutusnotch.forwarding.fixture.InstanceFixture
+import org.arbutusnotch.forwarding.fixture.RawCaller
+import org.arbutusnotch.forwarding.fixture.ScriptedServer
+import org.arbutusnotch.forwarding.fixture.awaitUntil
+import org.arbutusnotch.forwarding.fixture.testServer
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+
+class GenerationTest {
+    private val open = mutableListOf<AutoCloseable>()
+
+    @AfterEach
+    fun close() = open.forEach { it.close() }
+
+    private fun server(script: AnswerWriter.() -> Unit) = ScriptedServer(script).also { open += it }
+
+    private val prefill = server { if (request.firstLine.startsWith("DELETE")) answer() else answer(body = "handle-7") }
+
+    private fun fixture(vararg decode: ScriptedServer, prefillServer: ScriptedServer? = prefill): InstanceFixture {
+        val servers = decode.mapIndexed { index, it -> testServer("d$index", it.address, ServerStage.DECODE) } +
+            listOfNotNull(prefillServer?.let { testServer("p", it.address, ServerStage.PREFILL) })
+        return InstanceFixture(servers = servers).also { open += it }
+    }
+
+    private fun AnswerWriter.events(range: IntRange) {
+        streamHead()
+        range.forEach { event(it) }
+        endOfStream()
+    }
+
+    private fun eventText(range: IntRange) = range.joinToString("") { "id: $it\ndata: token $it\n\n" }
+
+    private val tokens = "tokens: 100,10\r\n"
+
+    @Test
+    fun `prompt is read at one server and generated at another`() {
+        val decode = server { events(1..3) }
+        val answer = fixture(decode).call("/stream/x", "r1", headers = tokens)
+        expectThat(answer?.body).isEqualTo(eventText(1..3))
+        expectThat(answer?.complete ?: false).isTrue()
+        expectThat(prefill.requests.single().header("part")).isEqualTo("prefill")
+        expectThat(decode.requests.single().header("memory")).isEqualTo("${prefill.address}/handle-7")
+    }
+
+    /** Guards against events that are collected instead of passed on. */
+    @Test
+    fun `events are passed on as they arrive`() {
+        val continues = CountDownLatch(1)
+        val decode = server {
+            streamHead()
+            event(1)
+            continues.await(5, TimeUnit.SECONDS)
+            event(2)
+            endOfStream()
+        }
+        val running = fixture(decode)
+        RawCaller(running.front).use { caller ->
+            caller.write(running.request("/stream/x", "r1", tokens))
+            expectThat(caller.readInterim()).contains("200")
+            continues.countDown()
+        }
+    }
+
+    /** Guards against a broken stream that looks complete, and against a second run of one that may run once. */
+    @Test
+    fun `broken stream does not end as complete`() {
+        val decode = server {
+            streamHead()
+            event(1)
+            reset()
+        }
+        val answer = fixture(decode, decode).call("/stream/x", "r1", headers = tokens)
+        expectThat(answer?.complete ?: true).isFalse()
+        expectThat(decode.requests.size).isEqualTo(1)
+    }
+
+    /** Guards against missing, repeated or torn events where another server continues a stream. */
+    @Test
+    fun `resumable stream goes on at another server`() {
+        val arrivals = AtomicInteger()
+        val script: AnswerWriter.() -> Unit = {
+            if (arrivals.incrementAndGet() == 1) {
+                streamHead()
+                event(1)
+                event(2)
+                chunk("id: 3\ndata: to")
+                reset()
+            } else {
+                events(3..5)
+            }
+        }
+        val first = server(script)
+        val second = server(script)
+        val answer = fixture(first, second).call("/resumable/x", "r1", headers = tokens)
+        expectThat(answer?.body).isEqualTo(eventText(1..5))
+        expectThat(answer?.complete ?: false).isTrue()
+        expectThat((first.requests + second.requests).mapNotNull { it.header("after") }).isEqualTo(listOf("2"))
+    }
+
+    /** Guards against a stream whose continuation failed and that ends as complete. */
+    @Test
+    fun `failed continuation does not end a stream as complete`() {
+        val arrivals = AtomicInteger()
+        val script: AnswerWriter.() -> Unit = {
+            if (arrivals.incrementAndGet() == 1) {
+                streamHead()
+                event(1)
+                reset()
+            } else {
+                answer(status = "500 Failed")
+            }
+        }
+        val answer = fixture(server(script), server(script)).call("/resumable/x", "r1", headers = tokens)
+        expectThat(answer?.complete ?: true).isFalse()
+        expectThat(answer?.body).isEqualTo(eventText(1..1))
+    }
+
+    @Test
+    fun `decode server reads the prompt when no prefill server answers`() {
+        val decode = server { events(1..2) }
+        val refusing = server { answer(status = "503 Full", headers = "not-run: 1\r\n") }
+        val answer = fixture(decode, prefillServer = refusing).call("/stream/x", "r1", headers = tokens)
+        expectThat(answer?.body).isEqualTo(eventText(1..2))
+        expectThat(decode.requests.single().header("memory")).isNull()
+    }
+
+    /** Guards against a lapsed handle that ends the request. */
+    @Test
+    fun `lapsed memory is read again by the decode server`() {
+        val decode = server {
+            if (request.header("memory") != null) answer(status = "503 Gone", headers = "not-run: 1\r\n") else events(1..2)
+        }
+        val answer = fixture(decode).call("/stream/x", "r1", headers = tokens)
+        expectThat(answer?.body).isEqualTo(eventText(1..2))
+        expectThat(decode.requests.size).isEqualTo(2)
+    }
+
+    /** Guards against engine memory and work that stay after their caller has left. */
+    @Test
+    fun `caller that leaves ends the run`() {
+        val closed = java.util.concurrent.atomic.AtomicBoolean()
+        val decode = server {
+            streamHead()
+            event(1)
+            closed.set(awaitClose(3_000))
+        }
+        val running = fixture(decode)
+        RawCaller(running.front).use { caller ->
+            caller.write(running.request("/stream/x", "r1", tokens))
+            awaitUntil("the server has the request") { decode.requests.isNotEmpty() }
+        }
+        awaitUntil("the server's connection is closed") { closed.get() }
+    }
+
+    /** Guards against memory of a prompt that nobody fetches and that is not freed. */
+    @Test
+    fun `memory is freed when no decode server can be reached`() {
+        val running = InstanceFixture(
+            servers = listOf(
+                testServer("d", "127.0.0.1:1", ServerStage.DECODE),
+                testServer("p", prefill.address, ServerStage.PREFILL),
+            ),
+        ).also { open += it }
+        expectThat(running.call("/stream/x", "r1", headers = tokens)?.status).isEqualTo(503)
+        awaitUntil("the handle is freed") { prefill.requests.any { it.firstLine == "DELETE /handle-7 HTTP/1.1" } }
+    }
+}
--- /dev/null
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LifecycleTest.kt
@@ -0,0 +1,93 @@
+/*
+ * Configuration, registry and shutdown of a running instance.
+ */
+package org.arbutusnotch.forwarding
+
+import org.arbutusnotch.forwarding.fixture.InstanceFixture
+import org.arbutusnotch.forwarding.fixture.RawCaller
+import org.arbutusnotch.forwarding.fixture.ScriptedServer
+import org.arbutusnotch.forwarding.fixture.awaitUntil
+import org.arbutusnotch.forwarding.fixture.testRoutes
+import org.arbutusnotch.forwarding.fixture.testServer
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+
+class LifecycleTest {
+    /** Guards against requests that a planned stop interrupts, and against callers that are sent to a stopping instance. */
+    @Test
+    fun `shutdown completes requests that are running`() {
+        val continues = CountDownLatch(1)
+        val server = ScriptedServer {
+            continues.await(5, TimeUnit.SECONDS)
+            answer(body = "late")
+        }
+        InstanceFixture(servers = listOf(testServer("a", server.address))).use { fixture ->
+            RawCaller(fixture.front).use { caller ->
+                caller.write(fixture.request("/once/x", "r1"))
+                awaitUntil("the server has the request") { server.requests.isNotEmpty() }
+                fixture.instance.stop()
+                awaitUntil("the instance is not ready") { fixture.ask(fixture.ready, "/ready")?.status == 503 }
+                continues.countDown()
+                val answer = caller.read()
+                expectThat(answer?.body).isEqualTo("late")
+                expectThat(answer?.header("Connection")).isEqualTo("close")
+            }
+        }
+        server.close()
+    }
+
+    /** Guards against a lower revision that replaces a higher one, and against a removed route that stays in force. */
+    @Test
+    fun `higher revision replaces the routes and a lower one does not`() {
+        val server = ScriptedServer { answer() }
+        InstanceFixture(testRoutes(revision = 5), listOf(testServer("a", server.address))).use { fixture ->
+            val routes = testRoutes(revision = 7)
+            fixture.store.put(
+                "routes/table",
+                org.arbutusnotch.core.forwarding.RouteTable(
+                    routes.revision,
+                    routes.routes.filter { it.prefix != "/safe/" },
+                    routes.pools,
+                    routes.limits,
+                ),
+            )
+            awaitUntil("the route is gone") { fixture.call("/safe/x", "r1")?.status == 404 }
+            fixture.store.put("routes/table", testRoutes(revision = 6))
+            Thread.sleep(300)
+            expectThat(fixture.call("/safe/x", "r2")?.status).isEqualTo(404)
+        }
+        server.close()
+    }
+
+    /** Guards against work for a server that is leaving, and against entries that describe nothing. */
+    @Test
+    fun `leaving server gets no new work`() {
+        val leaving = ScriptedServer { answer(body = "leaving") }
+        val staying = ScriptedServer { answer(body = "staying") }
+        val servers = listOf(testServer("a", leaving.address), testServer("b", staying.address))
+        InstanceFixture(servers = servers).use { fixture ->
+            fixture.store.putUnreadable("servers/ghost")
+            fixture.store.put("servers/a", testServer("a", leaving.address, leaving = true))
+            Thread.sleep(300)
+            repeat(6) { expectThat(fixture.call("/safe/$it", "r$it")?.body).isEqualTo("staying") }
+        }
+        leaving.close()
+        staying.close()
+    }
+
+    /** Guards against routes and servers that are forgotten while the store is away. */
+    @Test
+    fun `requests are served while the store is away`() {
+        val server = ScriptedServer { answer() }
+        InstanceFixture(servers = listOf(testServer("a", server.address))).use { fixture ->
+            fixture.store.status = 503
+            fixture.store.put("servers/unseen", testServer("unseen", "127.0.0.1:1"))
+            Thread.sleep(500)
+            expectThat(fixture.call("/once/x", "r1")?.status).isEqualTo(200)
+        }
+        server.close()
+    }
+}
--- /dev/null
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerFaultTest.kt
@@ -0,0 +1,193 @@
+/*
+ * Faulty answers of backend servers: no caller gets a broken answer as a whole one, and nothing runs twice that must not.
+ */
+package org.arbutusnotch.forwarding
+
+import org.arbutusnotch.forwarding.fixture.AnswerWriter
+import org.arbutusnotch.forwarding.fixture.InstanceFixture
+import org.arbutusnotch.forwarding.fixture.RawCaller
+import org.arbutusnotch.forwarding.fixture.ReceivedAnswer
+import org.arbutusnotch.forwarding.fixture.ScriptedServer
+import org.arbutusnotch.forwarding.fixture.awaitUntil
+import org.arbutusnotch.forwarding.fixture.testRoutes
+import org.arbutusnotch.forwarding.fixture.testServer
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.milliseconds
+
+class ServerFaultTest {
+    private class Outcome(val answer: ReceivedAnswer?, val arrivals: Int)
+
+    /** Sends one request while the first arrival at any server gets [first] and later ones [others]. */
+    private fun outcomeOf(
+        target: String,
+        first: AnswerWriter.() -> Unit,
+        others: AnswerWriter.() -> Unit = { answer(body = "second") },
+    ): Outcome {
+        val arrivals = java.util.concurrent.atomic.AtomicInteger()
+        val script: AnswerWriter.() -> Unit = { if (arrivals.incrementAndGet() == 1) first() else others() }
+        val servers = listOf(ScriptedServer(script), ScriptedServer(script))
+        val registered = servers.mapIndexed { index, server -> testServer("s$index", server.address) }
+        return InstanceFixture(testRoutes(timeLimit = 1_500.milliseconds), registered).use { fixture ->
+            val answer = fixture.call(target, "r1", body = "b".repeat(50_000))
+            servers.forEach { it.close() }
+            Outcome(answer, arrivals.get())
+        }
+    }
+
+    private fun expectRepeatedOnlyIfIdempotent(first: AnswerWriter.() -> Unit) {
+        val safe = outcomeOf("/safe/x", first)
+        expectThat(safe.answer?.body).isEqualTo("second")
+        expectThat(safe.arrivals).isEqualTo(2)
+        val once = outcomeOf("/once/x", first)
+        expectThat(once.answer?.status).isEqualTo(502)
+        expectThat(once.arrivals).isEqualTo(1)
+    }
+
+    @Test
+    fun `reset before an answer`() = expectRepeatedOnlyIfIdempotent { reset() }
+
+    @Test
+    fun `close before an answer`() = expectRepeatedOnlyIfIdempotent { close() }
+
+    @Test
+    fun `bytes that are no answer`() = expectRepeatedOnlyIfIdempotent {
+        write("garbage garbage\r\n\r\n")
+        close()
+    }
+
+    @Test
+    fun `body shorter than its length`() = expectRepeatedOnlyIfIdempotent {
+        write("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nContent-Length: 10\r\n\r\nshort")
+        close()
+    }
+
+    @Test
+    fun `chunked body without its end`() = expectRepeatedOnlyIfIdempotent {
+        streamHead()
+        chunk("part")
+        close()
+    }
+
+    /** Guards against a body without a length that is taken for whole after a reset. */
+    @Test
+    fun `body without length and a reset`() = expectRepeatedOnlyIfIdempotent {
+        write("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n\r\npart")
+        Thread.sleep(100)
+        reset()
+    }
+
+    @Test
+    fun `answer to another request`() = expectRepeatedOnlyIfIdempotent { answer(id = "other") }
+
+    @Test
+    fun `answer without seal`() = expectRepeatedOnlyIfIdempotent {
+        write("HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nab")
+    }
+
+    @Test
+    fun `body without length that ends with its connection is whole`() {
+        val outcome = outcomeOf("/once/x", first = {
+            write("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n\r\nwhole")
+            close()
+        })
+        expectThat(outcome.answer?.body).isEqualTo("whole")
+        expectThat(outcome.answer?.complete ?: false).isTrue()
+    }
+
+    /** Guards against an early answer after which the rest of the body goes to the next request. */
+    @Test
+    fun `answer before the body was read`() {
+        val early = ScriptedServer { answer(status = "400 Bad Request", headers = "Connection: keep-alive\r\n") }
+        InstanceFixture(servers = listOf(testServer("a", early.address))).use { fixture ->
+            expectThat(fixture.call("/once/x", "r1", body = "b".repeat(90_000))?.status).isEqualTo(400)
+            expectThat(fixture.call("/once/y", "r2")?.status).isEqualTo(400)
+        }
+        expectThat(early.requests.map { it.target }).isEqualTo(listOf("/once/x", "/once/y"))
+        early.close()
+    }
+
+    /** Guards against a second answer that is given to the next request. */
+    @Test
+    fun `second answer at once and late`() {
+        val double = ScriptedServer {
+            answer(body = "first")
+            write("HTTP/1.1 200 OK\r\nid: r2\r\nseal: forged\r\nContent-Length: 6\r\n\r\nforged")
+            Thread.sleep(100)
+            write("HTTP/1.1 200 OK\r\nid: r2\r\nseal: forged\r\nContent-Length: 6\r\n\r\nforged")
+        }
+        InstanceFixture(servers = listOf(testServer("a", double.address))).use { fixture ->
+            RawCaller(fixture.front).use { caller ->
+                listOf("r1", "r2").forEach { id ->
+                    caller.write(fixture.request("/safe/x", id))
+                    val answer = caller.read()
+                    expectThat(answer?.body).isEqualTo("first")
+                    expectThat(answer?.header("seal")).isEqualTo("s-$id")
+                    Thread.sleep(150)
+                }
+            }
+        }
+        double.close()
+    }
+
+    /** Guards against a refusal that claims less than the server stated, and against one that is repeated for ever. */
+    @Test
+    fun `request that was not run goes to another server`() {
+        val full: AnswerWriter.() -> Unit = { answer(status = "503 Full", headers = "not-run: 1\r\n") }
+        expectThat(outcomeOf("/once/x", full).answer?.body).isEqualTo("second")
+        val refused = outcomeOf("/once/x", full, full)
+        expectThat(refused.answer?.status).isEqualTo(503)
+        expectThat(refused.answer?.header("Retry-After")).isNotNull()
+        expectThat(refused.answer?.header("X-Outcome")).isEqualTo("not_run")
+    }
+
+    /** Guards against a failure without a statement that is told as not run. */
+    @Test
+    fun `failure of a call that may run once is passed on`() {
+        val outcome = outcomeOf("/once/x", first = { answer(status = "503 Busy") })
+        expectThat(outcome.answer?.status).isEqualTo(503)
+        expectThat(outcome.answer?.header("seal")).isEqualTo("s-r1")
+        expectThat(outcome.arrivals).isEqualTo(1)
+    }
+
+    /** Guards against callers that are kept waiting beyond the time limit of their route. */
+    @Test
+    fun `silent server`() {
+        val silent: AnswerWriter.() -> Unit = { awaitClose(4_000) }
+        expectThat(outcomeOf("/safe/x", silent).answer?.body).isEqualTo("second")
+        val start = System.nanoTime()
+        val once = outcomeOf("/once/x", silent)
+        expectThat(once.answer?.status).isEqualTo(504)
+        expectThat(once.arrivals).isEqualTo(1)
+        expectThat(System.nanoTime() - start).isGreaterThan(1_400.milliseconds.inWholeNanoseconds)
+    }
+
+    @Test
+    fun `unreachable server is passed over`() {
+        val reachable = ScriptedServer { answer() }
+        val servers = listOf(testServer("gone", "127.0.0.1:1"), testServer("there", reachable.address))
+        InstanceFixture(servers = servers).use { fixture ->
+            repeat(4) { expectThat(fixture.call("/once/$it", "r$it")?.status).isEqualTo(200) }
+        }
+        reachable.close()
+    }
+
+    /** Guards against servers that work for callers who have left. */
+    @Test
+    fun `caller that leaves ends the work of an idempotent call`() {
+        val closed = java.util.concurrent.atomic.AtomicBoolean()
+        val server = ScriptedServer { closed.set(awaitClose(3_000)) }
+        InstanceFixture(servers = listOf(testServer("a", server.address))).use { fixture ->
+            RawCaller(fixture.front).use { caller ->
+                caller.write(fixture.request("/safe/x", "r1"))
+                awaitUntil("the server has the request") { server.requests.isNotEmpty() }
+            }
+            awaitUntil("the server's connection is closed") { closed.get() }
+        }
+        server.close()
+    }
+}
