--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -49,7 +49,8 @@
 
     /** Takes over the servers that may get new work; [engine] is null for a pool of plain calls. */
     public fun configure(servers: List<BackendServer>, engine: EngineProfile?) {
-        selection = if (engine == null) CallPlaceSelection(ledgers) else GenerationPlaceSelection(ledgers, engine, outputSpeed)
+        selection =
+            if (engine == null) CallPlaceSelection(ledgers) else GenerationPlaceSelection(ledgers, engine, outputSpeed)
         val listed = servers.associateBy { it.id }
         ledgers.keys.retainAll(listed.keys)
         servers.forEach { server ->
@@ -137,7 +138,9 @@
 
     private fun refusalOf(request: DispatchRequest, entry: WaitingRequest, now: Timestamp): DispatchRefusal? = when {
         ledgers.keys.none { it !in entry.excluded } -> DispatchRefusal.NO_SERVER
+
         request.repeated && !budget.take(now) -> DispatchRefusal.RETRY_BUDGET
+
         else -> {
             if (!request.repeated) budget.recordFirstAttempt(now)
             DispatchRefusal.OVERLOADED.takeIf { isHopeless(entry, waiting.size, now) }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
@@ -38,12 +38,16 @@
                 pausedUntil = Timestamp(0)
                 share(callerDomain).observe(failed = false, now)
             }
+
             PlaceOutcome.SERVER_FAILED -> share(callerDomain).observe(failed = true, now)
+
             PlaceOutcome.BROKEN -> share(callerDomain).observe(failed = true, now)
+
             PlaceOutcome.UNREACHABLE, PlaceOutcome.SILENT -> {
                 faults += 1
                 pausedUntil = now + pause()
             }
+
             PlaceOutcome.NOT_RUN, PlaceOutcome.UNUSED -> Unit
         }
     }
@@ -75,7 +79,8 @@
             observedAt = now
         }
 
-        fun isAbove(limit: Double, now: Timestamp) = samples >= MINIMUM_SAMPLES && value > limit && now - observedAt <= MEMORY
+        fun isAbove(limit: Double, now: Timestamp) =
+            samples >= MINIMUM_SAMPLES && value > limit && now - observedAt <= MEMORY
     }
 
     private companion object {
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerLedger.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerLedger.kt
@@ -57,8 +57,7 @@
     }
 
     /** Returns the factor by which work takes longer than usual at [now]. */
-    fun slowdown(now: Timestamp): Double =
-        if (now < slowdownUntil) slowdownPercent / USUAL_PERCENT.toDouble() else 1.0
+    fun slowdown(now: Timestamp): Double = if (now < slowdownUntil) slowdownPercent / USUAL_PERCENT.toDouble() else 1.0
 
     /** Returns the expected time of one unit of work at [now], or of [usual] where nothing was observed. */
     fun timePerUnit(usual: Duration, now: Timestamp): Duration = (speed.perUnit ?: usual) * slowdown(now)
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/BackendServer.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/BackendServer.kt
@@ -94,7 +94,9 @@
 
     private fun forgetExpired(now: Timestamp) {
         if (removed.isEmpty()) return
-        removed.values.removeIf { now >= it.removedAt + grace && now >= minOf(troubledUntil, it.removedAt + LAPSE_LIMIT) }
+        removed.values.removeIf {
+            now >= it.removedAt + grace && now >= minOf(troubledUntil, it.removedAt + LAPSE_LIMIT)
+        }
     }
 
     private class RemovedServer(val server: BackendServer, val removedAt: Timestamp)
--- /dev/null
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
@@ -0,0 +1,165 @@
+/*
+ * Queueing and placing of plain calls.
+ */
+package org.arbutusnotch.core.dispatch
+
+import org.arbutusnotch.core.dispatch.DispatchFixture.Companion.server
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.message.DispatchRefusal
+import org.arbutusnotch.core.message.DispatchWork
+import org.arbutusnotch.core.message.HeldPlace
+import org.arbutusnotch.core.message.HeldPlaces
+import org.arbutusnotch.core.message.PlaceOutcome
+import org.arbutusnotch.core.message.PlacePart
+import org.arbutusnotch.core.retry.RetryBudget
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class CallDispatchTest {
+    /** Guards against a server that is sent more calls than it has slots and one on its way. */
+    @Test
+    fun `calls beyond the places wait`() {
+        val fixture = DispatchFixture(listOf(server("a"), server("b")))
+        val granted = (1..8).flatMap { fixture.submitCall() }.granted()
+        expectThat(granted.groupBy { it.server }.mapValues { it.value.size })
+            .isEqualTo(mapOf(BackendServerId("a") to 3, BackendServerId("b") to 3))
+        expectThat(fixture.dispatcher.queueLength).isEqualTo(2)
+        expectThat(fixture.release(granted.first()).granted()).hasSize(1)
+    }
+
+    /** Guards against late calls that take the places of those that can still be on time. */
+    @Test
+    fun `call that can be on time goes before a late one`() {
+        val fixture = DispatchFixture(listOf(server("a", slots = 1)))
+        val running = (1..2).flatMap { fixture.submitCall() }.granted()
+        val late = fixture.request(DispatchWork.Call, objective = (-100).milliseconds)
+        val onTime = fixture.request(DispatchWork.Call, objective = 300.milliseconds)
+        fixture.submit(late)
+        fixture.submit(onTime)
+        expectThat(fixture.release(running[0]).granted().single().ticket).isEqualTo(onTime.ticket)
+        expectThat(fixture.release(running[1]).granted().single().ticket).isEqualTo(late.ticket)
+    }
+
+    @Test
+    fun `more urgent call goes first`() {
+        val fixture = DispatchFixture(listOf(server("a", slots = 1)))
+        val running = (1..2).flatMap { fixture.submitCall() }.granted()
+        fixture.submit(fixture.request(DispatchWork.Call, priority = 2))
+        val urgent = fixture.request(DispatchWork.Call, priority = 1)
+        fixture.submit(urgent)
+        expectThat(fixture.release(running.first()).granted().single().ticket).isEqualTo(urgent.ticket)
+    }
+
+    /** Guards against a lost reply that costs a request a second place. */
+    @Test
+    fun `repeated question gets the same answer`() {
+        val fixture = DispatchFixture(listOf(server("a")))
+        val request = fixture.request(DispatchWork.Call)
+        val first = fixture.submit(request).granted().single()
+        expectThat(fixture.submit(request).granted().single()).isEqualTo(first)
+        expectThat(fixture.dispatcher.placesInUse).isEqualTo(1)
+    }
+
+    /** Guards against callers who wait for what cannot be served before they leave. */
+    @Test
+    fun `hopeless call is refused at once`() {
+        val fixture = DispatchFixture(listOf(server("a", slots = 1)))
+        repeat(12) {
+            fixture.submitCall().granted().forEach { granted -> fixture.release(granted, elapsed = 400.milliseconds) }
+        }
+        repeat(2) { fixture.submitCall() }
+        val refused = fixture.submit(fixture.request(DispatchWork.Call, remaining = 100.milliseconds)).refused()
+        expectThat(refused.single().reason).isEqualTo(DispatchRefusal.OVERLOADED)
+    }
+
+    /** Guards against places that stay taken after their holder ended. */
+    @Test
+    fun `place without reports becomes free`() {
+        val fixture = DispatchFixture(listOf(server("a", slots = 1)))
+        repeat(2) { fixture.submitCall() }
+        fixture.submit(fixture.request(DispatchWork.Call, remaining = 10.seconds))
+        repeat(6) {
+            fixture.pass(300.milliseconds)
+            fixture.dispatcher.tick(fixture.now)
+        }
+        expectThat(fixture.dispatcher.placesInUse).isEqualTo(0)
+    }
+
+    /** Guards against a new dispatcher that gives out places that are in use. */
+    @Test
+    fun `reported place of another dispatcher counts`() {
+        val fixture = DispatchFixture(listOf(server("a", slots = 1)))
+        val held = (1..2).map {
+            HeldPlace(org.arbutusnotch.core.id.TicketId("old$it"), BackendServerId("a"), PlacePart.RUN, 0)
+        }
+        fixture.dispatcher.renew(HeldPlaces(DispatchFixture.HOLDER, DispatchFixture.POOL, held), fixture.now)
+        expectThat(fixture.submitCall().granted()).isEmpty()
+    }
+
+    /** Guards against work for a server that has stopped to answer, and against one that is never tried again. */
+    @Test
+    fun `silent server gets one call at a time after a pause`() {
+        val fixture = DispatchFixture(listOf(server("a")))
+        fixture.submitCall().granted().forEach { fixture.release(it, outcome = PlaceOutcome.SILENT) }
+        expectThat(fixture.submitCall().granted()).isEmpty()
+        fixture.pass(500.milliseconds)
+        val probe = fixture.dispatcher.tick(fixture.now).granted().single()
+        expectThat(fixture.submitCall().granted()).isEmpty()
+        expectThat(fixture.release(probe).granted()).hasSize(1)
+        expectThat(fixture.submitCall().granted()).hasSize(1)
+    }
+
+    /** Guards against a server that fails most of its calls while its peers do not. */
+    @Test
+    fun `failing server gets only probes`() {
+        val fixture = DispatchFixture(listOf(server("a", slots = 4), server("b", slots = 4)))
+        repeat(40) {
+            fixture.submitCall().granted().forEach { granted ->
+                val failed = granted.server == BackendServerId("a")
+                val outcome = if (failed) PlaceOutcome.SERVER_FAILED else PlaceOutcome.COMPLETED
+                fixture.release(granted, outcome = outcome)
+            }
+        }
+        val spread = (1..4).flatMap { fixture.submitCall() }.granted().groupBy { it.server }.mapValues { it.value.size }
+        expectThat(spread.getOrDefault(BackendServerId("a"), 0)).isNotEqualTo(2)
+        expectThat(spread.getValue(BackendServerId("b")) >= 3).isEqualTo(true)
+    }
+
+    /** Guards against places of an earlier process that count for its successor under the same id. */
+    @Test
+    fun `restarted server begins with free places`() {
+        val fixture = DispatchFixture(listOf(server("a", slots = 1)))
+        repeat(2) { fixture.submitCall() }
+        fixture.dispatcher.configure(listOf(server("a", slots = 1, startedAt = 2)), engine = null)
+        expectThat(fixture.submitCall().granted()).hasSize(1)
+    }
+
+    @Test
+    fun `repetitions end with their budget`() {
+        val fixture = DispatchFixture(listOf(server("a", slots = 50)), budget = RetryBudget(10, 2))
+        val decisions = (1..5).flatMap { fixture.submitCall(repeated = true) }
+        expectThat(decisions.granted()).hasSize(2)
+        expectThat(decisions.refused().map { it.reason }.toSet()).isEqualTo(setOf(DispatchRefusal.RETRY_BUDGET))
+    }
+
+    @Test
+    fun `pool without servers refuses`() {
+        val fixture = DispatchFixture(emptyList())
+        expectThat(fixture.submitCall().refused().single().reason).isEqualTo(DispatchRefusal.NO_SERVER)
+    }
+
+    @Test
+    fun `excluded server is not used`() {
+        val fixture = DispatchFixture(listOf(server("a"), server("b")))
+        val granted = (1..3).flatMap {
+            fixture.submit(fixture.request(DispatchWork.Call, excluded = listOf(BackendServerId("a"))))
+        }.granted()
+        expectThat(granted.map { it.server }.toSet()).isEqualTo(setOf(BackendServerId("b")))
+    }
+}
--- /dev/null
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/DispatchFixture.kt
@@ -0,0 +1,110 @@
+/*
+ * A dispatcher with servers, requests and a clock of the test.
+ */
+package org.arbutusnotch.core.dispatch
+
+import org.arbutusnotch.core.forwarding.BackendServer
+import org.arbutusnotch.core.forwarding.EngineProfile
+import org.arbutusnotch.core.forwarding.ServerStage
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.FailureDomainId
+import org.arbutusnotch.core.id.Incarnation
+import org.arbutusnotch.core.id.InstanceAddress
+import org.arbutusnotch.core.id.InstanceId
+import org.arbutusnotch.core.id.PoolId
+import org.arbutusnotch.core.id.TicketId
+import org.arbutusnotch.core.message.DispatchRelease
+import org.arbutusnotch.core.message.DispatchRequest
+import org.arbutusnotch.core.message.DispatchWork
+import org.arbutusnotch.core.message.PlaceOutcome
+import org.arbutusnotch.core.message.PlacePart
+import org.arbutusnotch.core.retry.RetryBudget
+import org.arbutusnotch.core.time.Timestamp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal class DispatchFixture(
+    servers: List<BackendServer>,
+    engine: EngineProfile? = null,
+    budget: RetryBudget = RetryBudget(),
+) {
+    val dispatcher = PoolDispatcher(budget).also { it.configure(servers, engine) }
+    var now = Timestamp(1_000_000)
+    private var tickets = 0
+
+    fun pass(time: Duration) {
+        now += time
+    }
+
+    fun submit(request: DispatchRequest): List<DispatchDecision> = dispatcher.submit(request, now)
+
+    fun submitCall(objective: Duration = 300.milliseconds, repeated: Boolean = false): List<DispatchDecision> =
+        submit(request(DispatchWork.Call, objective = objective, repeated = repeated))
+
+    fun request(
+        work: DispatchWork,
+        objective: Duration = 300.milliseconds,
+        remaining: Duration = 4.seconds,
+        priority: Int = 1,
+        repeated: Boolean = false,
+        excluded: List<BackendServerId> = emptyList(),
+        holder: InstanceId = HOLDER,
+    ): DispatchRequest {
+        tickets += 1
+        return DispatchRequest(
+            ticket = TicketId("t$tickets"),
+            holder = holder,
+            failureDomain = DOMAIN,
+            pool = POOL,
+            work = work,
+            priority = priority,
+            objectiveMillis = objective.inWholeMilliseconds,
+            remainingMillis = remaining.inWholeMilliseconds,
+            excluded = excluded,
+            repeated = repeated,
+        )
+    }
+
+    fun release(
+        granted: DispatchDecision.Granted,
+        part: PlacePart = PlacePart.RUN,
+        outcome: PlaceOutcome = PlaceOutcome.COMPLETED,
+        elapsed: Duration = 50.milliseconds,
+    ): List<DispatchDecision> {
+        val server = if (part == PlacePart.PREFILL) granted.prefillServer else granted.server
+        val release = DispatchRelease(
+            ticket = granted.ticket,
+            pool = POOL,
+            server = server,
+            part = part,
+            outcome = outcome,
+            elapsedMillis = elapsed.inWholeMilliseconds,
+        )
+        return dispatcher.release(release, now)
+    }
+
+    companion object {
+        val POOL = PoolId("pool")
+        val DOMAIN = FailureDomainId("one")
+        val HOLDER = InstanceId(InstanceAddress("127.0.0.1:1"), Incarnation(1))
+
+        fun server(id: String, stage: ServerStage = ServerStage.WHOLE, slots: Int = 2, startedAt: Long = 1) =
+            BackendServer(
+                id = BackendServerId(id),
+                pool = POOL,
+                address = "127.0.0.1:2",
+                failureDomain = DOMAIN,
+                stage = stage,
+                slots = slots,
+                leaving = false,
+                startedAt = startedAt,
+            )
+    }
+}
+
+internal fun List<DispatchDecision>.granted(): List<DispatchDecision.Granted> =
+    filterIsInstance<DispatchDecision.Granted>()
+
+internal fun List<DispatchDecision>.refused(): List<DispatchDecision.Refused> =
+    filterIsInstance<DispatchDecision.Refused>()
--- /dev/null
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/ServerRegistryTest.kt
@@ -0,0 +1,75 @@
+/*
+ * Which registered servers get new work.
+ */
+package org.arbutusnotch.core.forwarding
+
+import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.FailureDomainId
+import org.arbutusnotch.core.id.PoolId
+import org.arbutusnotch.core.time.Timestamp
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ServerRegistryTest {
+    private val registry = ServerRegistry(grace = 1_200.milliseconds, troubledGrace = 2_500.milliseconds)
+    private val start = Timestamp(1_000_000)
+    private val id = BackendServerId("a")
+
+    private fun server(startedAt: Long = 5, leaving: Boolean = false, address: String = "10.0.0.1:1") = BackendServer(
+        id = id,
+        pool = PoolId("pool"),
+        address = address,
+        failureDomain = FailureDomainId("one"),
+        stage = ServerStage.WHOLE,
+        slots = 4,
+        leaving = leaving,
+        startedAt = startedAt,
+    )
+
+    @Test
+    fun `leaving server is not usable`() {
+        registry.put(server(), start)
+        registry.put(server(leaving = true), start)
+        expectThat(registry.findUsable(id, start)).isNull()
+    }
+
+    /** Guards against an old heartbeat that replaces the entry of a later start. */
+    @Test
+    fun `entry of an earlier start is ignored`() {
+        registry.put(server(startedAt = 9, address = "10.0.0.2:1"), start)
+        registry.put(server(startedAt = 5), start)
+        expectThat(registry.findUsable(id, start)?.address).isEqualTo("10.0.0.2:1")
+    }
+
+    /** Guards against work that reaches a server later than the time that it goes on serving after its removal. */
+    @Test
+    fun `removed server is usable for its grace time`() {
+        registry.put(server(), start)
+        registry.remove(id, start)
+        expectThat(registry.findUsable(id, start + 1_100.milliseconds)).isNotNull()
+        expectThat(registry.findUsable(id, start + 1_200.milliseconds)).isNull()
+    }
+
+    /** Guards against a pool that is empty because entries lapsed while the store was away. */
+    @Test
+    fun `entry that lapsed during trouble is believed until servers had time to return`() {
+        registry.put(server(), start)
+        registry.noteTrouble(start)
+        registry.remove(id, start + 100.milliseconds)
+        registry.noteTrouble(start + 1.seconds)
+        expectThat(registry.findUsable(id, start + 3_400.milliseconds)).isNotNull()
+        expectThat(registry.findUsable(id, start + 3_600.milliseconds)).isNull()
+    }
+
+    @Test
+    fun `listing replaces all entries`() {
+        registry.put(server(), start)
+        registry.replaceAll(emptyList(), start)
+        expectThat(registry.usable(start + 2.seconds).size).isEqualTo(0)
+    }
+}
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -217,10 +217,15 @@
         val now = clock.now()
         when (message) {
             is Gossip -> membership.onGossip(message, now)
+
             is DispatchRequest -> dispatchService.onRequest(message, now)
+
             is DispatchRelease -> dispatchService.onRelease(message, now)
+
             is HeldPlaces -> dispatchService.onHeld(message, now)
+
             is DispatchReply -> dispatchClient.onReply(message, sender)
+
             else -> log.warn("unexpected_message") {
                 field("sender", sender)
                 field("type", message::class.simpleName)
@@ -274,7 +279,8 @@
         val peers = membership.reachablePeers().filter { it.row.inForce != null }
         val newest = peers.maxOfOrNull { it.row.inForce?.revision?.value ?: 0 } ?: return
         val peer = peers.filter { it.row.inForce?.revision?.value == newest }.random(random)
-        val head = RequestHead("GET", ControlHandler.SNAPSHOT_PATH, listOf(HeaderField("Host", peer.row.operatorAddress)))
+        val head =
+            RequestHead("GET", ControlHandler.SNAPSHOT_PATH, listOf(HeaderField("Host", peer.row.operatorAddress)))
         SingleCall(HttpRequestMessage(head, ByteArray(0)), PEER_TIME, PEER_TIME) { result ->
             result.fold(
                 success = { adopt(it.body, peer.address) },
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -164,7 +164,9 @@
             field("server", reply.server)
             field("prefill_server", reply.prefillServer)
         }
-        val unusable = listOfNotNull(reply.server, reply.prefillServer).filter { registry.findUsable(it, now()) == null }
+        val unusable = listOfNotNull(reply.server, reply.prefillServer).filter {
+            registry.findUsable(it, now()) == null
+        }
         val excluded = asked.question.excluded + unusable
         if (excluded.size > MAXIMUM_EXCLUDED) {
             asked.onAnswer(PlaceAnswer.Refused(DispatchRefusal.NO_SERVER, NO_SERVER_RETRY))
@@ -258,6 +260,7 @@
 
         private fun tokensOf(part: PlacePart): Int = when (work) {
             is DispatchWork.Call -> 0
+
             is DispatchWork.Generation ->
                 if (part == PlacePart.PREFILL) work.promptTokens else work.promptTokens + work.outputTokens
         }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -80,7 +80,9 @@
     private fun replyOf(decision: DispatchDecision): DispatchReply = when (decision) {
         is DispatchDecision.Granted ->
             DispatchReply.Granted(decision.ticket, decision.server, decision.prefillServer)
+
         is DispatchDecision.Queued -> DispatchReply.Queued(decision.ticket)
+
         is DispatchDecision.Refused ->
             DispatchReply.Refused(decision.ticket, decision.reason, decision.retryAfter.inWholeMilliseconds)
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -60,10 +60,12 @@
             } else {
                 deliver(result.head, result.body)
             }
+
             is AttemptResult.NotRun -> {
                 excluded += ended.place.server.id
                 if (repeatable) ask(repeated = result.received) else refuse("servers_full", SHORTEST_RETRY)
             }
+
             is AttemptResult.Unknown -> {
                 excluded += ended.place.server.id
                 val again = request.route.kind.idempotent && ranOn.size < request.route.maximumServers && repeatable
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -93,6 +93,7 @@
                 logPlace(answer.place)
                 if (finished) unused(answer.place) else onPlace(answer.place)
             }
+
             is PlaceAnswer.Refused -> if (!finished) onNoPlace(answer.reason, answer.retryAfter)
         }
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
@@ -64,6 +64,7 @@
             outputTokens = caller.expectedOutputTokens?.coerceAtMost(caller.maximumOutputTokens)
                 ?: caller.maximumOutputTokens,
         )
+
         RouteKind.IdempotentCall, RouteKind.SingleRunCall -> DispatchWork.Call
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -145,7 +145,12 @@
         SingleCall(free, CONNECT_TIME, FREE_TIME) { result ->
             result.fold(
                 success = {},
-                failure = { end -> log.info("handle_not_freed") { field("server", server.id); field("detail", end) } },
+                failure = { end ->
+                    log.info("handle_not_freed") {
+                        field("server", server.id)
+                        field("detail", end)
+                    }
+                },
             )
         }.start(socketAddress(server.address), context.group)
     }
@@ -179,7 +184,9 @@
     private fun completed(end: RunEnd.Completed) {
         when {
             !begun -> deliver(end.head, end.body)
+
             end.head.status !in SUCCESS -> breakOff("status ${end.head.status}")
+
             else -> {
                 finish("answered", end.head.status.toString())
                 responder.sendPart(relay.rest())
@@ -196,12 +203,14 @@
                 openHandle = null
                 startRun(ended.place, RunPart.Whole)
             }
+
             arrivals < MAXIMUM_ARRIVALS && context.now() < deadlineAt -> {
                 release(ended.place, end.outcome)
                 freeHandle()
                 excluded += ended.place.server.id
                 ask(repeated = end.received)
             }
+
             else -> {
                 release(ended.place, end.outcome)
                 freeHandle()
@@ -216,11 +225,14 @@
         val again = resumable && ranOn.size < request.route.maximumServers && arrivals < MAXIMUM_ARRIVALS
         when {
             finished -> Unit
+
             again -> {
                 relay.dropIncomplete()
                 ask(repeated = true)
             }
+
             begun -> breakOff(end.detail)
+
             else -> fail(BAD_GATEWAY, end.detail)
         }
     }
@@ -312,7 +324,9 @@
             val outcome = when (result) {
                 is RunEnd.Completed ->
                     if (result.head.status in SUCCESS) PlaceOutcome.COMPLETED else PlaceOutcome.SERVER_FAILED
+
                 is RunEnd.NotRun -> result.outcome
+
                 is RunEnd.Broken -> PlaceOutcome.BROKEN
             }
             logAttempt(server.id, "run", outcome.name.lowercase(), result.detail, startedAt)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/PeerLink.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/PeerLink.kt
@@ -72,8 +72,7 @@
         }
     }
 
-    private fun addressOf(sender: InetSocketAddress) =
-        InstanceAddress("${sender.address.hostAddress}:${sender.port}")
+    private fun addressOf(sender: InetSocketAddress) = InstanceAddress("${sender.address.hostAddress}:${sender.port}")
 
     private companion object {
         /** Largest payload of a UDP datagram over IPv4, less room for headers. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -118,6 +118,7 @@
                 if (known != null && known.revision >= change.item.revision) return
                 items[change.item.key] = change.item
             }
+
             is StoreChange.Removed -> {
                 val known = items[change.key] ?: return
                 if (known.revision >= change.revision) return
@@ -138,6 +139,7 @@
     private fun onResponse(response: HttpResponseMessage, onAnswer: (HttpResponseMessage) -> Unit) {
         when (response.head.status) {
             OK -> onAnswer(response)
+
             GONE -> {
                 log.info("history_gone") {
                     field("prefix", prefix)
@@ -146,6 +148,7 @@
                 listener.onTrouble()
                 list(after = null)
             }
+
             else -> retryLater("status ${response.head.status}")
         }
     }
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/FaithfulForwardingTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/FaithfulForwardingTest.kt
@@ -46,7 +46,11 @@
     fun `header lines reach the server unchanged`() {
         fixture.call("/safe/x", "r1", headers = "Accept: a\r\nX-Odd:  b, c \r\nAccept: \u00e9|d\r\n")
         val received = server.requests.single()
-        expectThat(received.headers.filter { it.first == "Accept" }.map { it.second }).isEqualTo(listOf("a", "\u00e9|d"))
+        expectThat(
+            received.headers.filter {
+                it.first == "Accept"
+            }.map { it.second },
+        ).isEqualTo(listOf("a", "\u00e9|d"))
         expectThat(received.header("X-Odd")).isEqualTo("b, c")
         expectThat(received.header("id")).isEqualTo("r1")
     }
@@ -103,7 +107,9 @@
     @Test
     fun `expected continuation is given`() {
         RawCaller(fixture.front).use { caller ->
-            caller.write("POST /safe/x HTTP/1.1\r\nHost: test\r\nid: r1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+            caller.write(
+                "POST /safe/x HTTP/1.1\r\nHost: test\r\nid: r1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n",
+            )
             expectThat(caller.readInterim()).contains("100 Continue")
             caller.write("ab")
             expectThat(caller.read()?.status).isEqualTo(200)
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/GenerationTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/GenerationTest.kt
@@ -144,7 +144,13 @@
     @Test
     fun `lapsed memory is read again by the decode server`() {
         val decode = server {
-            if (request.header("memory") != null) answer(status = "503 Gone", headers = "not-run: 1\r\n") else events(1..2)
+            if (request.header("memory") !=
+                null
+            ) {
+                answer(status = "503 Gone", headers = "not-run: 1\r\n")
+            } else {
+                events(1..2)
+            }
         }
         val answer = fixture(decode).call("/stream/x", "r1", headers = tokens)
         expectThat(answer?.body).isEqualTo(eventText(1..2))
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/HostileRequestTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/HostileRequestTest.kt
@@ -37,7 +37,8 @@
 
     /** Guards against request smuggling by two lengths. */
     @Test
-    fun `conflicting lengths are rejected`() = expectRejected(head("Content-Length: 3\r\nContent-Length: 4\r\n") + "abcd", 400)
+    fun `conflicting lengths are rejected`() =
+        expectRejected(head("Content-Length: 3\r\nContent-Length: 4\r\n") + "abcd", 400)
 
     /** Guards against request smuggling by a length beside a transfer coding. */
     @Test
@@ -74,7 +75,8 @@
     fun `target without slash is rejected`() = expectRejected("GET safe HTTP/1.1\r\nHost: test\r\nid: r1\r\n\r\n", 400)
 
     @Test
-    fun `unsupported version is rejected`() = expectRejected("GET /safe/x HTTP/1.0\r\nHost: test\r\nid: r1\r\n\r\n", 505)
+    fun `unsupported version is rejected`() =
+        expectRejected("GET /safe/x HTTP/1.0\r\nHost: test\r\nid: r1\r\n\r\n", 505)
 
     @Test
     fun `chunk without a size is rejected`() = expectRejected(head("Transfer-Encoding: chunked\r\n") + "zz\r\nabc", 400)
@@ -83,7 +85,8 @@
     fun `head over the limit is rejected`() = expectRejected(head("X: ${"a".repeat(5_000)}\r\n"), 431)
 
     @Test
-    fun `body over the limit is rejected`() = expectRejected(head("Content-Length: 200000\r\n") + "a".repeat(110_000), 413)
+    fun `body over the limit is rejected`() =
+        expectRejected(head("Content-Length: 200000\r\n") + "a".repeat(110_000), 413)
 
     /** Guards against connections that hold memory with a request that never ends. */
     @Test
