Keep servers at work beside one long call, and refuse while callers can still come again

Streams waited until their callers left after four objectives. Ruled out: load (25 calls a second at a server that can run 240). Change: a server is passed over when it has answered nothing since its oldest call began; never more than half of a pool is shut out; requests are refused after seven tenths of their caller's patience. Gossip stays in its failure domain every other time: it was all of the bytes between domains (0.014 GB).

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -35,7 +35,10 @@
     /** Learns from a completed use of [place]. */
     abstract fun observe(ledger: ServerLedger, place: UsedPlace, release: DispatchRelease, now: Timestamp)
 
-    /** Returns the time that the request would need at least. */
+    /** Returns the time that the answer, or the first event, would need at least. */
+    abstract fun firstTime(entry: WaitingRequest, now: Timestamp): Duration
+
+    /** Returns the time that the whole request would need at least. */
     abstract fun leastTime(entry: WaitingRequest, now: Timestamp): Duration
 
     /** Returns the time that the request usually needs until its answer or first event. */
@@ -49,12 +52,6 @@
         return known.getOrNull(known.size / 2)
     }
 
-    protected fun admission(ledger: ServerLedger, domain: FailureDomainId, now: Timestamp): Admission {
-        val shares = ledgers.values.map { it.health.failureShare(domain) }.sorted()
-        val usual = shares.getOrElse((shares.size - 1) / 2) { 0.0 }
-        return ledger.health.admission(domain, usual, now)
-    }
-
     protected fun mayTake(ledger: ServerLedger, entry: WaitingRequest, now: Timestamp): Boolean {
         if (ledger.server.id in entry.excluded) return false
         return when (admission(ledger, entry.domain, now)) {
@@ -63,6 +60,25 @@
             Admission.NONE -> false
         }
     }
+
+    /**
+     * Returns how much work [ledger] may get. When more than half of the servers of a stage look unhealthy, the cause is
+     * rather the way to them or the requests, and each of them gets more than it would alone. Prefill servers are
+     * excepted, because decode servers can do their work.
+     */
+    private fun admission(ledger: ServerLedger, domain: FailureDomainId, now: Timestamp): Admission {
+        val peers = ledgers.values.filter { it.server.stage == ledger.server.stage }
+        val shares = peers.map { it.health.failureShare(domain) }.sorted()
+        val usual = shares.getOrElse((shares.size - 1) / 2) { 0.0 }
+        val own = ledger.health.admission(domain, usual, now)
+        if (own == Admission.FULL || ledger.server.stage == ServerStage.PREFILL) return own
+        val unhealthy = peers.count { it.health.admission(domain, usual, now) != Admission.FULL }
+        return when {
+            unhealthy * 2 <= peers.size -> own
+            own == Admission.NONE -> Admission.PROBE
+            else -> Admission.FULL
+        }
+    }
 }
 
 /** Places plain calls: on the server that is expected to answer first, one call beyond its slots at the most. */
@@ -82,15 +98,17 @@
         return ledger.timePerUnit(usual, now).inWholeMicroseconds / MICROS_PER_MILLI * (1 + occupied) + distance
     }
 
-    /** Whether the oldest call runs for so long that the server has probably stopped to answer. */
+    /** Whether the server has work and answers nothing for so long that it has probably stopped to answer. */
     private fun isStalled(ledger: ServerLedger, usual: Duration, now: Timestamp): Boolean =
-        ledger.places.isNotEmpty() && ledger.oldestAge(PlacePart.RUN, now) > usual * STALL_FACTOR + STALL_EXTRA
+        ledger.silence(now) > usual * STALL_FACTOR + STALL_EXTRA
 
     override fun observe(ledger: ServerLedger, place: UsedPlace, release: DispatchRelease, now: Timestamp) {
         val usualElapsed = release.elapsedMillis.milliseconds / ledger.slowdown(now)
         ledger.speed.observe(units = 1.0, elapsed = usualElapsed, count = 1, now = now)
     }
 
+    override fun firstTime(entry: WaitingRequest, now: Timestamp): Duration = leastTime(entry, now)
+
     override fun leastTime(entry: WaitingRequest, now: Timestamp): Duration = usualCall() * LEAST_SHARE
 
     override fun usualTime(entry: WaitingRequest, now: Timestamp): Duration = usualCall()
@@ -189,6 +207,8 @@
         return (outputSpeed.perUnit ?: Duration.ZERO) * work.outputTokens
     }
 
+    override fun firstTime(entry: WaitingRequest, now: Timestamp): Duration = promptTime(entry)
+
     /** A caller that leaves before the end of its stream has got nothing, so the whole run must fit. */
     override fun leastTime(entry: WaitingRequest, now: Timestamp): Duration =
         promptTime(entry) + runTime(entry) * LEAST_RUN
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -88,6 +88,7 @@
         val place = ledger.places.remove(PlaceKey(release.ticket, release.part))
         val domain = recentGrants[release.ticket]?.request?.domain ?: ledger.server.failureDomain
         ledger.health.record(release.outcome, domain, now)
+        if (release.outcome in ANSWERS) ledger.answeredAt = now
         ledger.noteSlowdown(release.slowdownPercent, now)
         if (place != null && release.outcome == PlaceOutcome.COMPLETED) {
             selection.observe(ledger, place, release, now)
@@ -149,7 +150,8 @@
 
     private fun isHopeless(entry: WaitingRequest, ahead: Int, now: Timestamp): Boolean {
         val wait = throughput.timeFor(ahead, now) ?: Duration.ZERO
-        return now + wait + selection.leastTime(entry, now) >= entry.deadlineAt
+        return now + wait + selection.firstTime(entry, now) >= entry.beginBy ||
+            now + wait + selection.leastTime(entry, now) >= entry.deadlineAt
     }
 
     private fun pump(now: Timestamp): List<DispatchDecision> {
@@ -222,6 +224,9 @@
         /** Time that a grant may need to its holder and the holder's next report back. */
         val GRANT_TRANSIT = 700.milliseconds
 
+        /** Outcomes that show that a server answers. */
+        val ANSWERS = setOf(PlaceOutcome.COMPLETED, PlaceOutcome.SERVER_FAILED, PlaceOutcome.NOT_RUN)
+
         /** Weight of one run in the time for an output token; expectations of single runs are often far off. */
         const val OUTPUT_SPEED_WEIGHT = 0.05
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerLedger.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerLedger.kt
@@ -62,9 +62,14 @@
     /** Returns the expected time of one unit of work at [now], or of [usual] where nothing was observed. */
     fun timePerUnit(usual: Duration, now: Timestamp): Duration = (speed.perUnit ?: usual) * slowdown(now)
 
-    /** Returns the age of the oldest place of [part] in use, or zero. */
-    fun oldestAge(part: PlacePart, now: Timestamp): Duration =
-        places.entries.firstOrNull { it.key.part == part }?.let { now - it.value.grantedAt } ?: Duration.ZERO
+    /** Time of the latest answer. */
+    var answeredAt: Timestamp = Timestamp(0)
+
+    /** Returns for how long the server has answered nothing although it has work; zero when it has none. */
+    fun silence(now: Timestamp): Duration {
+        val oldest = places.values.firstOrNull()?.grantedAt ?: return Duration.ZERO
+        return now - maxOf(oldest, answeredAt)
+    }
 
     private companion object {
         const val SPEED_WEIGHT = 0.25
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/WaitingRequest.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/WaitingRequest.kt
@@ -18,6 +18,7 @@
  * Describes a waiting request with the deadlines of the dispatcher's clock.
  *
  * @property objectiveAt time after which the answer is late
+ * @property beginBy time by which the request must have a place; it is refused when it cannot get one
  * @property deadlineAt time at which the caller gives up
  * @property heardUntil time at which the request is dropped unless its holder repeats it
  */
@@ -28,6 +29,7 @@
     val work: DispatchWork,
     val priority: Int,
     val objectiveAt: Timestamp,
+    val beginBy: Timestamp,
     val deadlineAt: Timestamp,
     val excluded: Set<BackendServerId>,
     val heardUntil: Timestamp,
@@ -43,6 +45,7 @@
             work = request.work,
             priority = request.priority,
             objectiveAt = Timestamp(now.epochMillis + request.objectiveMillis),
+            beginBy = Timestamp(now.epochMillis + request.beginMillis),
             deadlineAt = Timestamp(now.epochMillis + request.remainingMillis),
             excluded = request.excluded.toSet(),
             heardUntil = now + HOLDER_SILENCE,
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/Route.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/Route.kt
@@ -29,8 +29,9 @@
      * Generations that are answered by a stream of events.
      *
      * @property resumable whether another backend server may continue a broken stream
+     * @property patience time without an event after which callers leave
      */
-    public data class Generation(public val resumable: Boolean) : RouteKind() {
+    public data class Generation(public val resumable: Boolean, public val patience: Duration) : RouteKind() {
         override val idempotent: Boolean = resumable
     }
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
@@ -173,8 +173,23 @@
      */
     public fun gossipTargets(random: Random, count: Int = GOSSIP_TARGETS): List<InstanceAddress> {
         val reachable = peers.values.filter { it.reachable }.map { it.row.instance.address }
-        val silent = (published.keys + seeds + peers.keys) - reachable.toSet() - self.address
-        return reachable.shuffled(random).take(count) + listOfNotNull(silent.randomOrNull(random))
+        return reachable.shuffled(random).take(count) + listOfNotNull(silentTarget(random))
+    }
+
+    /**
+     * Returns the same with [near] peers in the own failure domain and [far] peers in others. Bytes between failure
+     * domains are paid for, and a heartbeat spreads in each domain by itself.
+     */
+    public fun gossipTargets(random: Random, near: Int, far: Int): List<InstanceAddress> {
+        val (own, other) = peers.values.filter { it.reachable }
+            .partition { it.row.failureDomain == ownRow.failureDomain }
+        val selected = own.shuffled(random).take(near) + other.shuffled(random).take(far)
+        return selected.map { it.row.instance.address } + listOfNotNull(silentTarget(random))
+    }
+
+    private fun silentTarget(random: Random): InstanceAddress? {
+        val reachable = peers.values.filter { it.reachable }.map { it.row.instance.address }.toSet()
+        return ((published.keys + seeds + peers.keys) - reachable - self.address).randomOrNull(random)
     }
 
     private fun mergeOwn(row: InstanceRow): List<MembershipEvent> {
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
@@ -41,6 +41,7 @@
  * time while the request is queued, so that a new dispatcher learns of it.
  *
  * @property objectiveMillis time left until the answer is late; negative when it is late already
+ * @property beginMillis time left until the request is refused rather than kept waiting
  * @property remainingMillis time left until the caller gives up
  * @property excluded servers that this request must not go to again
  * @property repeated whether a backend server has already received this request
@@ -55,6 +56,7 @@
     @SerialName("w") public val work: DispatchWork,
     @SerialName("u") public val priority: Int,
     @SerialName("o") public val objectiveMillis: Long,
+    @SerialName("b") public val beginMillis: Long,
     @SerialName("d") public val remainingMillis: Long,
     @SerialName("x") public val excluded: List<BackendServerId> = emptyList(),
     @SerialName("r") public val repeated: Boolean = false,
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -34,6 +34,7 @@
 import org.arbutusnotch.forwarding.dispatch.DispatchService
 import org.arbutusnotch.forwarding.entry.ControlHandler
 import org.arbutusnotch.forwarding.entry.DirectoryHandler
+import org.arbutusnotch.forwarding.entry.MetricsHandler
 import org.arbutusnotch.forwarding.entry.ReadinessHandler
 import org.arbutusnotch.forwarding.exchange.ForwardingContext
 import org.arbutusnotch.forwarding.exchange.ForwardingCounters
@@ -121,7 +122,8 @@
     private val front = endpoint(settings.frontAddress, FrontHandler(context) { published.routes })
     private val others = listOf(
         endpoint(settings.readyAddress, ReadinessHandler { membership.state == InstanceState.SERVING }),
-        endpoint(settings.controlAddress, ControlHandler(::snapshot, metrics)),
+        endpoint(settings.controlAddress, ControlHandler(::snapshot)),
+        endpoint(settings.metricsAddress, MetricsHandler(metrics)),
         endpoint(
             settings.directoryAddress,
             DirectoryHandler(protocols.directory, settings.failureDomain) { membership.serving() },
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingSettings.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingSettings.kt
@@ -13,7 +13,8 @@
  * @property peerAddress address for datagrams of other instances
  * @property frontAddress address for the requests of callers
  * @property readyAddress address for the question whether the instance is ready
- * @property controlAddress address for other instances and for metrics
+ * @property controlAddress address for other instances
+ * @property metricsAddress address for metrics
  * @property directoryAddress address for callers that ask which instances to use
  * @property storeAddress address of the published store
  * @property seeds instances to contact first
@@ -28,6 +29,7 @@
     public val frontAddress: String,
     public val readyAddress: String,
     public val controlAddress: String,
+    public val metricsAddress: String,
     public val directoryAddress: String,
     public val storeAddress: String,
     public val seeds: List<InstanceAddress>,
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/entry/ControlHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/entry/ControlHandler.kt
@@ -1,5 +1,5 @@
 /*
- * Serves other instances and operators: what this instance knows of the store, and its metrics.
+ * Serves other instances with what this instance knows of the store, and operators with its metrics.
  */
 package org.arbutusnotch.forwarding.entry
 
@@ -12,28 +12,34 @@
 import org.arbutusnotch.forwarding.http.ResponseHead
 import org.arbutusnotch.forwarding.registry.StoreSnapshot
 
-internal class ControlHandler(
-    private val snapshot: () -> StoreSnapshot,
-    private val metrics: PrometheusMeterRegistry,
-) : RequestHandler {
+/** Answers other instances that ask for the state of the store. */
+internal class ControlHandler(private val snapshot: () -> StoreSnapshot) : RequestHandler {
     override fun handle(request: HttpRequestMessage, responder: Responder): CallerDeparture? {
-        when (request.head.path) {
-            SNAPSHOT_PATH -> responder.send(ok("application/cbor"), snapshot().encode())
-            METRICS_PATH -> responder.send(ok("text/plain; version=0.0.4"), metrics.scrape().toByteArray())
-            else -> responder.send(ResponseHead(NOT_FOUND, "Not Found", emptyList()), ByteArray(0))
-        }
+        responder.answer(request, SNAPSHOT_PATH, "application/cbor") { snapshot().encode() }
         return null
     }
 
-    private fun ok(type: String) = ResponseHead(OK, "OK", listOf(HeaderField("Content-Type", type)))
-
     internal companion object {
         /** Path of what an instance knows of the store. */
         const val SNAPSHOT_PATH = "/snapshot"
+    }
+}
 
-        /** Path of the metrics. */
-        const val METRICS_PATH = "/metrics"
-        private const val OK = 200
-        private const val NOT_FOUND = 404
+/** Answers operators with counters and histograms in the Prometheus text format. */
+internal class MetricsHandler(private val metrics: PrometheusMeterRegistry) : RequestHandler {
+    override fun handle(request: HttpRequestMessage, responder: Responder): CallerDeparture? {
+        responder.answer(request, "/metrics", "text/plain; version=0.0.4") { metrics.scrape().toByteArray() }
+        return null
     }
 }
+
+private fun Responder.answer(request: HttpRequestMessage, path: String, type: String, body: () -> ByteArray) {
+    if (request.head.path == path) {
+        send(ResponseHead(OK, "OK", listOf(HeaderField("Content-Type", type))), body())
+    } else {
+        send(ResponseHead(NOT_FOUND, "Not Found", emptyList()), ByteArray(0))
+    }
+}
+
+private const val OK = 200
+private const val NOT_FOUND = 404
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -7,6 +7,7 @@
 package org.arbutusnotch.forwarding.exchange
 
 import org.arbutusnotch.core.forwarding.Route
+import org.arbutusnotch.core.forwarding.RouteKind
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.id.TicketId
@@ -44,6 +45,7 @@
     protected val deadlineAt: Timestamp =
         receivedAt + minOf(request.caller.remaining ?: request.route.timeLimit, request.route.timeLimit)
     private val objectiveAt: Timestamp = receivedAt + request.route.objective
+    private val beginBy: Timestamp = receivedAt + minOf(deadlineAt - receivedAt, patience()) * WAITING_SHARE
     private var ticket: TicketId? = null
     private var cancelDeadline: () -> Unit = {}
 
@@ -71,6 +73,7 @@
             work = request.work,
             priority = request.route.priority,
             objectiveAt = objectiveAt,
+            beginBy = beginBy,
             deadlineAt = deadlineAt,
             excluded = excluded.toSet(),
             repeated = repeated,
@@ -85,6 +88,11 @@
         answered = false
     }
 
+    private fun patience(): Duration = when (val kind = request.route.kind) {
+        is RouteKind.Generation -> kind.patience
+        RouteKind.IdempotentCall, RouteKind.SingleRunCall -> deadlineAt - receivedAt
+    }
+
     private var answered = false
 
     private fun onAnswer(answer: PlaceAnswer) {
@@ -197,6 +205,12 @@
         /** Time to connect to a backend server: many round trips, and less than a repeated opening packet takes. */
         val CONNECT_TIME: Duration = 400.milliseconds
 
+        /**
+         * Share of a caller's patience for which its request may wait. A refusal later than that leaves the caller no
+         * time to come again.
+         */
+        const val WAITING_SHARE: Double = 0.7
+
         /** Shortest time after which a refused request may come again. */
         val SHORTEST_RETRY: Duration = 300.milliseconds
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
@@ -22,6 +22,7 @@
     private val table = InstanceTable(own)
     private var nextGossip = Timestamp(0)
     private var hurriedGossips = HURRIED_GOSSIPS
+    private var gossips = 0L
 
     val self: InstanceId
         get() = table.self
@@ -64,7 +65,9 @@
         nextGossip = now + if (hurried) HURRIED_INTERVAL else INTERVAL
         table.beat()
         val gossip = Gossip(table.self, table.rowsToSend(), table.heartbeatsToSend())
-        table.gossipTargets(random).forEach { link.send(it, gossip) }
+        gossips += 1
+        val far = if (hurried || gossips % FAR_EVERY == 0L) 1 else 0
+        table.gossipTargets(random, near = 1, far = far).forEach { link.send(it, gossip) }
     }
 
     private fun report(events: List<MembershipEvent>) {
@@ -89,6 +92,9 @@
         /** Time between two gossips. */
         val INTERVAL = 250.milliseconds
 
+        /** One gossip of so many also goes to another failure domain, where each byte is paid for. */
+        const val FAR_EVERY = 2L
+
         /** Time between the first gossips after a start or a change. */
         val HURRIED_INTERVAL = 60.milliseconds
         const val HURRIED_GOSSIPS = 8
