--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -49,7 +49,8 @@
 
     /** Takes over the servers that may get new work; [engine] is null for a pool of plain calls. */
     public fun configure(servers: List<BackendServer>, engine: EngineProfile?) {
-        selection = if (engine == null) CallPlaceSelection(ledgers) else GenerationPlaceSelection(ledgers, engine, outputSpeed)
+        selection =
+            if (engine == null) CallPlaceSelection(ledgers) else GenerationPlaceSelection(ledgers, engine, outputSpeed)
         val listed = servers.associateBy { it.id }
         ledgers.keys.retainAll(listed.keys)
         servers.forEach { server ->
@@ -87,6 +88,7 @@
         val place = ledger.places.remove(PlaceKey(release.ticket, release.part))
         val domain = recentGrants[release.ticket]?.request?.domain ?: ledger.server.failureDomain
         ledger.health.record(release.outcome, domain, now)
+        if (release.outcome in ANSWERS) ledger.answeredAt = now
         ledger.noteSlowdown(release.slowdownPercent, now)
         if (place != null && release.outcome == PlaceOutcome.COMPLETED) {
             selection.observe(ledger, place, release, now)
@@ -137,7 +139,9 @@
 
     private fun refusalOf(request: DispatchRequest, entry: WaitingRequest, now: Timestamp): DispatchRefusal? = when {
         ledgers.keys.none { it !in entry.excluded } -> DispatchRefusal.NO_SERVER
+
         request.repeated && !budget.take(now) -> DispatchRefusal.RETRY_BUDGET
+
         else -> {
             if (!request.repeated) budget.recordFirstAttempt(now)
             DispatchRefusal.OVERLOADED.takeIf { isHopeless(entry, waiting.size, now) }
@@ -146,7 +150,8 @@
 
     private fun isHopeless(entry: WaitingRequest, ahead: Int, now: Timestamp): Boolean {
         val wait = throughput.timeFor(ahead, now) ?: Duration.ZERO
-        return now + wait + selection.leastTime(entry, now) >= entry.deadlineAt
+        return now + wait + selection.firstTime(entry, now) >= entry.beginBy ||
+            now + wait + selection.leastTime(entry, now) >= entry.deadlineAt
     }
 
     private fun pump(now: Timestamp): List<DispatchDecision> {
@@ -219,6 +224,9 @@
         /** Time that a grant may need to its holder and the holder's next report back. */
         val GRANT_TRANSIT = 700.milliseconds
 
+        /** Outcomes that show that a server answers. */
+        val ANSWERS = setOf(PlaceOutcome.COMPLETED, PlaceOutcome.SERVER_FAILED, PlaceOutcome.NOT_RUN)
+
         /** Weight of one run in the time for an output token; expectations of single runs are often far off. */
         const val OUTPUT_SPEED_WEIGHT = 0.05
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -34,6 +34,7 @@
 import org.arbutusnotch.forwarding.dispatch.DispatchService
 import org.arbutusnotch.forwarding.entry.ControlHandler
 import org.arbutusnotch.forwarding.entry.DirectoryHandler
+import org.arbutusnotch.forwarding.entry.MetricsHandler
 import org.arbutusnotch.forwarding.entry.ReadinessHandler
 import org.arbutusnotch.forwarding.exchange.ForwardingContext
 import org.arbutusnotch.forwarding.exchange.ForwardingCounters
@@ -121,7 +122,8 @@
     private val front = endpoint(settings.frontAddress, FrontHandler(context) { published.routes })
     private val others = listOf(
         endpoint(settings.readyAddress, ReadinessHandler { membership.state == InstanceState.SERVING }),
-        endpoint(settings.controlAddress, ControlHandler(::snapshot, metrics)),
+        endpoint(settings.controlAddress, ControlHandler(::snapshot)),
+        endpoint(settings.metricsAddress, MetricsHandler(metrics)),
         endpoint(
             settings.directoryAddress,
             DirectoryHandler(protocols.directory, settings.failureDomain) { membership.serving() },
@@ -217,10 +219,15 @@
         val now = clock.now()
         when (message) {
             is Gossip -> membership.onGossip(message, now)
+
             is DispatchRequest -> dispatchService.onRequest(message, now)
+
             is DispatchRelease -> dispatchService.onRelease(message, now)
+
             is HeldPlaces -> dispatchService.onHeld(message, now)
+
             is DispatchReply -> dispatchClient.onReply(message, sender)
+
             else -> log.warn("unexpected_message") {
                 field("sender", sender)
                 field("type", message::class.simpleName)
@@ -274,7 +281,8 @@
         val peers = membership.reachablePeers().filter { it.row.inForce != null }
         val newest = peers.maxOfOrNull { it.row.inForce?.revision?.value ?: 0 } ?: return
         val peer = peers.filter { it.row.inForce?.revision?.value == newest }.random(random)
-        val head = RequestHead("GET", ControlHandler.SNAPSHOT_PATH, listOf(HeaderField("Host", peer.row.operatorAddress)))
+        val head =
+            RequestHead("GET", ControlHandler.SNAPSHOT_PATH, listOf(HeaderField("Host", peer.row.operatorAddress)))
         SingleCall(HttpRequestMessage(head, ByteArray(0)), PEER_TIME, PEER_TIME) { result ->
             result.fold(
                 success = { adopt(it.body, peer.address) },
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -38,6 +38,7 @@
     val work: DispatchWork,
     val priority: Int,
     val objectiveAt: Timestamp,
+    val beginBy: Timestamp,
     val deadlineAt: Timestamp,
     val excluded: Set<BackendServerId>,
     val repeated: Boolean,
@@ -164,7 +165,9 @@
             field("server", reply.server)
             field("prefill_server", reply.prefillServer)
         }
-        val unusable = listOfNotNull(reply.server, reply.prefillServer).filter { registry.findUsable(it, now()) == null }
+        val unusable = listOfNotNull(reply.server, reply.prefillServer).filter {
+            registry.findUsable(it, now()) == null
+        }
         val excluded = asked.question.excluded + unusable
         if (excluded.size > MAXIMUM_EXCLUDED) {
             asked.onAnswer(PlaceAnswer.Refused(DispatchRefusal.NO_SERVER, NO_SERVER_RETRY))
@@ -224,6 +227,7 @@
                 work = question.work,
                 priority = question.priority,
                 objectiveMillis = (question.objectiveAt - now).inWholeMilliseconds,
+                beginMillis = (question.beginBy - now).inWholeMilliseconds,
                 remainingMillis = (question.deadlineAt - now).inWholeMilliseconds,
                 excluded = question.excluded.toList(),
                 repeated = question.repeated,
@@ -258,6 +262,7 @@
 
         private fun tokensOf(part: PlacePart): Int = when (work) {
             is DispatchWork.Call -> 0
+
             is DispatchWork.Generation ->
                 if (part == PlacePart.PREFILL) work.promptTokens else work.promptTokens + work.outputTokens
         }
