Take servers that reject requests for full, keep places of silent runs, predict waits from capacity

Changes: a rejection stops new runs at that server for 300 ms; silence is reported apart from the end of a place; a prompt whose memory was not taken over is read directly, at a server with room; waits are predicted from slots, memory and speeds; a new dispatcher waits 350 ms for reports before it places generations.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -44,6 +44,9 @@
     /** Returns the time that the request usually needs until its answer or first event. */
     abstract fun usualTime(entry: WaitingRequest, now: Timestamp): Duration
 
+    /** Returns the time after which the pool as a whole has room for one more request like [entry] while it is full. */
+    abstract fun timePerRequest(entry: WaitingRequest): Duration
+
     /** Returns the time that the run is expected to take after its first event. */
     open fun runTime(entry: WaitingRequest): Duration = Duration.ZERO
 
@@ -87,7 +90,7 @@
         val usual = usualCall()
         return ledgers.values
             .filter { it.places.size < it.server.slots + TRANSIT_CALLS && mayTake(it, entry, now) }
-            .filter { !isStalled(it, usual, now) }
+            .filter { now >= it.fullUntil && !isStalled(it, usual, now) }
             .minByOrNull { cost(it, entry, usual, now) }
             ?.let { PlacedRequest(PlannedPlace(it)) }
     }
@@ -113,6 +116,11 @@
 
     override fun usualTime(entry: WaitingRequest, now: Timestamp): Duration = usualCall()
 
+    override fun timePerRequest(entry: WaitingRequest): Duration {
+        val slots = ledgers.values.sumOf { it.server.slots }
+        return if (slots == 0) Duration.ZERO else usualCall() / slots
+    }
+
     private fun usualCall(): Duration = medianPerUnit(setOf(ServerStage.WHOLE)) ?: UNKNOWN_CALL
 
     private companion object {
@@ -143,16 +151,16 @@
     override fun place(entry: WaitingRequest, now: Timestamp): PlacedRequest? {
         val work = entry.work as? DispatchWork.Generation ?: return null
         val decode = ledgers.values
-            .filter { it.server.stage != ServerStage.PREFILL && hasRoom(it, work) && mayTake(it, entry, now) }
+            .filter { it.server.stage != ServerStage.PREFILL && hasRoom(it, work, now) && mayTake(it, entry, now) }
         val prefill = ledgers.values
             .filter { it.server.stage == ServerStage.PREFILL && mayTake(it, entry, now) && mayRead(it) }
             .minByOrNull { readingTime(it, work, now) }
         val whole = decode.filter { it.server.stage == ServerStage.WHOLE }
-        return if (prefill != null) {
+        return if (prefill != null && !work.direct) {
             val run = decode.minByOrNull { load(it, entry, now) } ?: return null
             withPrefill(run, prefill, work)
         } else {
-            val direct = whole.ifEmpty { decode.takeIf { noPrefillServer(entry, now) }.orEmpty() }
+            val direct = whole.ifEmpty { decode.takeIf { work.direct || noPrefillServer(entry, now) }.orEmpty() }
             direct.filter { it.ownPrompts < DIRECT_PROMPTS }.minByOrNull { load(it, entry, now) }
                 ?.let { PlacedRequest(PlannedPlace(it, tokens = memory(work), readsPrompt = true)) }
         }
@@ -170,9 +178,9 @@
     private fun memory(work: DispatchWork.Generation): Int =
         work.promptTokens + (work.outputTokens * AVERAGE_OUTPUT).toInt()
 
-    private fun hasRoom(ledger: ServerLedger, work: DispatchWork.Generation): Boolean {
+    private fun hasRoom(ledger: ServerLedger, work: DispatchWork.Generation, now: Timestamp): Boolean {
         val used = ledger.usedTokens
-        return ledger.places.size < engine.slots &&
+        return now >= ledger.fullUntil && ledger.places.size < engine.slots &&
             (used == 0 || used + memory(work) <= engine.memoryTokens * USABLE_MEMORY)
     }
 
@@ -215,6 +223,15 @@
 
     override fun usualTime(entry: WaitingRequest, now: Timestamp): Duration = promptTime(entry) + FIRST_EVENT
 
+    /** Either the memory of the decode servers or the prefill servers are the limit. */
+    override fun timePerRequest(entry: WaitingRequest): Duration {
+        val work = entry.work as? DispatchWork.Generation ?: return Duration.ZERO
+        val (prefill, decode) = ledgers.values.partition { it.server.stage == ServerStage.PREFILL }
+        val reading = if (prefill.isEmpty()) Duration.ZERO else promptTime(entry) / prefill.size
+        val held = if (decode.isEmpty()) 0.0 else memory(work).toDouble() / (engine.memoryTokens * decode.size)
+        return maxOf(reading, runTime(entry) * held)
+    }
+
     private fun promptTime(entry: WaitingRequest): Duration {
         val work = entry.work as? DispatchWork.Generation ?: return Duration.ZERO
         return usualToken() * (work.promptTokens + OVERHEAD_TOKENS)
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -33,7 +33,11 @@
     private val ledgers = LinkedHashMap<BackendServerId, ServerLedger>()
     private val waiting = LinkedHashMap<TicketId, WaitingRequest>()
     private val recentGrants = LinkedHashMap<TicketId, RecentGrant>()
-    private val throughput = GrantRate()
+    /** Time of the latest report of places in use. */
+    private var reportedAt = Timestamp(0)
+
+    /** Time from which the places in use are known, after this dispatcher has taken over from another one. */
+    private var informedAt = Timestamp(0)
 
     /** Time for one expected output token of a generation. */
     private val outputSpeed = SpeedEstimate(OUTPUT_SPEED_WEIGHT)
@@ -73,8 +77,9 @@
             return listOf(DispatchDecision.Queued(request.ticket, request.holder))
         }
         val entry = WaitingRequest.of(request, now)
+        if (waiting.isEmpty() && now - reportedAt > REPORTS_LIFETIME && placesInUse == 0) informedAt = now + REPORTS_TIME
         val refusal = refusalOf(request, entry, now)
-        if (refusal != null) return listOf(entry.refused(refusal, now))
+        if (refusal != null) return listOf(entry.refused(refusal))
         waiting[request.ticket] = entry
         val decisions = pump(now)
         if (request.ticket !in waiting) return decisions
@@ -85,10 +90,12 @@
     public fun release(release: DispatchRelease, now: Timestamp): List<DispatchDecision> {
         waiting.remove(release.ticket)
         val ledger = release.server?.let { ledgers[it] } ?: return pump(now)
-        val place = ledger.places.remove(PlaceKey(release.ticket, release.part))
+        val key = PlaceKey(release.ticket, release.part)
+        val place = if (release.outcome == PlaceOutcome.SILENT) ledger.places[key] else ledger.places.remove(key)
         val domain = recentGrants[release.ticket]?.request?.domain ?: ledger.server.failureDomain
         ledger.health.record(release.outcome, domain, now)
         if (release.outcome in ANSWERS) ledger.answeredAt = now
+        if (release.outcome == PlaceOutcome.NOT_RUN) ledger.fullUntil = now + FULL_PAUSE
         ledger.noteSlowdown(release.slowdownPercent, now)
         if (place != null && release.outcome == PlaceOutcome.COMPLETED) {
             selection.observe(ledger, place, release, now)
@@ -98,6 +105,7 @@
 
     /** Takes over the places that a holder uses: unlisted ones are free, unknown ones were granted by another dispatcher. */
     public fun renew(held: HeldPlaces, now: Timestamp): List<DispatchDecision> {
+        reportedAt = now
         val listed = held.places.associateBy { PlaceKey(it.ticket, it.part) }
         ledgers.values.forEach { ledger ->
             ledger.places.entries.removeIf { (key, place) ->
@@ -149,7 +157,7 @@
     }
 
     private fun isHopeless(entry: WaitingRequest, ahead: Int, now: Timestamp): Boolean {
-        val wait = throughput.timeFor(ahead, now) ?: Duration.ZERO
+        val wait = selection.timePerRequest(entry) * ahead
         return now + wait + selection.firstTime(entry, now) >= entry.beginBy ||
             now + wait + selection.leastTime(entry, now) >= entry.deadlineAt
     }
@@ -160,9 +168,11 @@
         val hopeless = waiting.values.filter { isHopeless(it, ahead = 0, now) }
         hopeless.forEach {
             waiting.remove(it.ticket)
-            decisions += it.refused(DispatchRefusal.OVERLOADED, now)
+            decisions += it.refused(DispatchRefusal.OVERLOADED)
         }
         for (entry in inOrder(now)) {
+            // A run that a server has no memory for is rejected after its prompt was read, so places must be known.
+            if (entry.work is DispatchWork.Generation && now < informedAt) break
             val granted = selection.place(entry, now) ?: break
             waiting.remove(entry.ticket)
             decisions += grant(entry, granted, now)
@@ -183,7 +193,6 @@
     private fun grant(entry: WaitingRequest, places: PlacedRequest, now: Timestamp): DispatchDecision {
         places.prefill?.let { use(it, entry, PlacePart.PREFILL, now) }
         use(places.run, entry, PlacePart.RUN, now)
-        throughput.record(now)
         val decision = DispatchDecision.Granted(
             ticket = entry.ticket,
             holder = entry.holder,
@@ -206,8 +215,8 @@
         )
     }
 
-    private fun WaitingRequest.refused(reason: DispatchRefusal, now: Timestamp): DispatchDecision.Refused {
-        val wait = throughput.timeFor(waiting.size, now) ?: Duration.ZERO
+    private fun WaitingRequest.refused(reason: DispatchRefusal): DispatchDecision.Refused {
+        val wait = selection.timePerRequest(this) * waiting.size
         return DispatchDecision.Refused(ticket, holder, reason, retryAfter = maxOf(wait, SHORTEST_RETRY))
     }
 
@@ -224,6 +233,15 @@
         /** Time that a grant may need to its holder and the holder's next report back. */
         val GRANT_TRANSIT = 700.milliseconds
 
+        /** Time without new work for a server that rejected a request, since it has less room than is known here. */
+        val FULL_PAUSE = 300.milliseconds
+
+        /** Time in which every holder reports once. */
+        val REPORTS_TIME = 350.milliseconds
+
+        /** Time without any report after which the places in use are not known. */
+        val REPORTS_LIFETIME = 1_200.milliseconds
+
         /** Outcomes that show that a server answers. */
         val ANSWERS = setOf(PlaceOutcome.COMPLETED, PlaceOutcome.SERVER_FAILED, PlaceOutcome.NOT_RUN)
 
@@ -237,29 +255,3 @@
         val SHORTEST_RETRY = 200.milliseconds
     }
 }
-
-/** Measures how many requests a pool takes a second. */
-internal class GrantRate {
-    private val grants = ArrayDeque<Timestamp>()
-
-    fun record(now: Timestamp) {
-        grants.addLast(now)
-        forget(now)
-    }
-
-    /** Returns the time in which [count] requests are granted at the present rate; null when nothing is known. */
-    fun timeFor(count: Int, now: Timestamp): Duration? {
-        forget(now)
-        if (grants.size < MINIMUM_GRANTS) return null
-        return WINDOW * count / grants.size
-    }
-
-    private fun forget(now: Timestamp) {
-        while (grants.isNotEmpty() && now - grants.first() > WINDOW) grants.removeFirst()
-    }
-
-    private companion object {
-        val WINDOW = 2_000.milliseconds
-        const val MINIMUM_GRANTS = 8
-    }
-}
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
@@ -27,12 +27,14 @@
      *
      * @property promptTokens tokens to read
      * @property outputTokens tokens that are expected to be generated
+     * @property direct whether the decode server is to read the prompt itself, after memory of a prompt was not taken over
      */
     @Serializable
     @SerialName("g")
     public data class Generation(
         @SerialName("p") public val promptTokens: Int,
         @SerialName("o") public val outputTokens: Int,
+        @SerialName("d") public val direct: Boolean = false,
     ) : DispatchWork
 }
 
@@ -127,7 +129,7 @@
     /** The connection or the answer broke. */
     BROKEN,
 
-    /** The server sent nothing for too long. */
+    /** The server has sent nothing for too long; it may still be at work, so that its place stays taken. */
     SILENT,
 
     /** The holder did not use the place, or stopped because its caller left. */
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/DispatchFixture.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/DispatchFixture.kt
@@ -16,6 +16,7 @@
 import org.arbutusnotch.core.message.DispatchRelease
 import org.arbutusnotch.core.message.DispatchRequest
 import org.arbutusnotch.core.message.DispatchWork
+import org.arbutusnotch.core.message.HeldPlaces
 import org.arbutusnotch.core.message.PlaceOutcome
 import org.arbutusnotch.core.message.PlacePart
 import org.arbutusnotch.core.retry.RetryBudget
@@ -28,11 +29,16 @@
     servers: List<BackendServer>,
     engine: EngineProfile? = null,
     budget: RetryBudget = RetryBudget(),
+    informed: Boolean = true,
 ) {
     val dispatcher = PoolDispatcher(budget).also { it.configure(servers, engine) }
     var now = Timestamp(1_000_000)
     private var tickets = 0
 
+    init {
+        if (informed) dispatcher.renew(HeldPlaces(HOLDER, POOL, emptyList()), now)
+    }
+
     fun pass(time: Duration) {
         now += time
     }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
@@ -17,6 +17,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNull
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -58,6 +59,56 @@
         expectThat((1..4).flatMap { fixture.generate() }.granted()).hasSize(2)
     }
 
+    /**
+     * Guards against a server that rejects requests, looks empty for that reason, and gets all further ones
+     * (cmn-dakar trouble-3: 76 prompts were read in vain).
+     */
+    @Test
+    fun `server that rejects requests is taken for full`() {
+        val fixture = DispatchFixture(
+            listOf(server("p", ServerStage.PREFILL, 16), server("d", ServerStage.DECODE, 16), server("e", ServerStage.DECODE, 16)),
+            EngineProfile(slots = 16, memoryTokens = 38_000),
+        )
+        val first = fixture.generate().granted().single()
+        fixture.release(first, PlacePart.PREFILL)
+        fixture.release(first, outcome = PlaceOutcome.NOT_RUN)
+        repeat(3) {
+            val next = fixture.generate().granted().single()
+            expectThat(next.server).isNotEqualTo(first.server)
+            fixture.release(next, PlacePart.PREFILL)
+        }
+    }
+
+    /** Guards against memory that is given out twice while a silent run still holds it. */
+    @Test
+    fun `silent run keeps its place`() {
+        val fixture = fixture()
+        val granted = fixture.generate().granted().single()
+        fixture.release(granted, outcome = PlaceOutcome.SILENT)
+        expectThat(fixture.dispatcher.placesInUse).isEqualTo(2)
+    }
+
+    /** Guards against a dispatcher that takes over and gives out memory that is in use. */
+    @Test
+    fun `new dispatcher waits for the reports of holders`() {
+        val fixture = DispatchFixture(
+            listOf(server("p", ServerStage.PREFILL, 16), server("d", ServerStage.DECODE, 16)),
+            engine,
+            informed = false,
+        )
+        expectThat(fixture.generate().granted()).isEmpty()
+        fixture.pass(400.milliseconds)
+        expectThat(fixture.dispatcher.tick(fixture.now).granted()).hasSize(1)
+    }
+
+    /** Guards against a prompt that is read apart again after its memory was not taken over. */
+    @Test
+    fun `direct generation uses no prefill server`() {
+        val fixture = fixture()
+        val request = fixture.request(DispatchWork.Generation(3_000, 70, direct = true), objective = 900.milliseconds)
+        expectThat(fixture.submit(request).granted().single().prefillServer).isNull()
+    }
+
     @Test
     fun `decode server reads the prompt while no prefill server answers`() {
         val fixture = fixture()
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -115,7 +115,6 @@
         protocol = protocols.forwarding,
         registry = registry,
         dispatch = dispatchClient,
-        directBudget = RetryBudget(requestsPerRetry(), DIRECT_ALLOWANCE),
         random = random,
         counters = counters,
     )
@@ -374,12 +373,9 @@
         /** Time for which entries that lapsed are believed after trouble with the store: live servers return by then. */
         val TROUBLED_GRACE = 2_500.milliseconds
 
-        /** Share of the fleet's retry budget that the dispatcher gives out; the rest is for direct retries. */
+        /** Share of the fleet's retry budget that one dispatcher gives out; a second one may dispatch beside it. */
         const val DISPATCHER_SHARE = 0.5
 
-        /** Direct retries of one instance without requests; a fleet has some tens of instances. */
-        const val DIRECT_ALLOWANCE = 2
-
         /** Longest use of a list of addresses by a caller. */
         val LISTS_LIFETIME: Duration = 3.seconds
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -123,6 +123,14 @@
         send(dispatcherOf(place.pool), release)
     }
 
+    /** Reports that the server of [part] has sent nothing for too long; the place stays in use. */
+    fun reportSilence(place: GrantedPlace, part: PlacePart) {
+        val server = if (part == PlacePart.PREFILL) place.prefillServer else place.server
+        if (server == null) return
+        val report = DispatchRelease(place.ticket, place.pool, server.id, part, PlaceOutcome.SILENT)
+        send(dispatcherOf(place.pool), report)
+    }
+
     fun onReply(reply: DispatchReply, sender: InstanceAddress) {
         passedOver.remove(sender)
         val asked = pending[reply.ticket]
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -125,12 +125,13 @@
         /** An idempotent call goes to another server; any other keeps waiting for its answer. */
         private fun onSilence() {
             if (head != null) return
-            report(PlaceOutcome.SILENT)
+            context.dispatch.reportSilence(place, PlacePart.RUN)
             logAttempt(place.server.id, "call", "silent", "no answer yet", startedAt)
             val again = request.route.kind.idempotent && ranOn.size < request.route.maximumServers
             if (!again || finished) return
             over = true
             call?.cancel()
+            report(PlaceOutcome.UNUSED)
             onAttemptEnd(this, AttemptResult.Unknown("server_silent"))
         }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -49,6 +49,10 @@
     private var ticket: TicketId? = null
     private var cancelDeadline: () -> Unit = {}
 
+    /** What the request needs of a backend server now. */
+    protected open val work: DispatchWork
+        get() = request.work
+
     /** Whether a server may have run the request. */
     protected var mayHaveRun: Boolean = false
 
@@ -70,7 +74,7 @@
     protected fun ask(repeated: Boolean) {
         val question = PlaceQuestion(
             pool = request.pool,
-            work = request.work,
+            work = work,
             priority = request.route.priority,
             objectiveAt = objectiveAt,
             beginBy = beginBy,
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
@@ -5,7 +5,6 @@
 
 import io.netty.channel.EventLoopGroup
 import org.arbutusnotch.core.forwarding.ServerRegistry
-import org.arbutusnotch.core.retry.RetryBudget
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.forwarding.ForwardingProtocol
 import org.arbutusnotch.forwarding.dispatch.DispatchClient
@@ -15,8 +14,6 @@
 
 /**
  * Holds the parts of the instance that forward requests. All of them are used on one event loop only.
- *
- * @property directBudget retries that this instance may send without the dispatcher
  */
 internal class ForwardingContext(
     val clock: Clock,
@@ -24,7 +21,6 @@
     val protocol: ForwardingProtocol,
     val registry: ServerRegistry,
     val dispatch: DispatchClient,
-    val directBudget: RetryBudget,
     val random: Random,
     val counters: ForwardingCounters,
 ) {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -9,6 +9,7 @@
 import com.github.michaelbull.result.fold
 import io.netty.buffer.ByteBuf
 import org.arbutusnotch.core.message.DispatchRefusal
+import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.message.PlaceOutcome
 import org.arbutusnotch.core.message.PlacePart
 import org.arbutusnotch.core.time.Timestamp
@@ -38,6 +39,12 @@
     private var run: Run? = null
     private var arrivals = 0
     private var begun = false
+
+    /** Whether the decode server is to read the prompt itself. */
+    private var direct = false
+
+    override val work: DispatchWork
+        get() = (request.work as? DispatchWork.Generation)?.copy(direct = direct) ?: request.work
     private val resumable = request.route.kind.idempotent
     private val relay = EventRelay(wholeEvents = resumable)
 
@@ -102,7 +109,10 @@
     private fun notPrefilled(end: CallEnd, place: GrantedPlace, startedAt: Timestamp): RunPart.Decode? {
         when (end) {
             is CallEnd.NotSent -> endPrefill(place, PlaceOutcome.UNREACHABLE, end.detail, startedAt, 0)
-            is CallEnd.Broken -> endPrefill(place, PlaceOutcome.SILENT, end.detail, startedAt, 0)
+            is CallEnd.Broken -> {
+                context.dispatch.reportSilence(place, PlacePart.PREFILL)
+                endPrefill(place, PlaceOutcome.BROKEN, end.detail, startedAt, 0)
+            }
             is CallEnd.Complete -> Unit
         }
         return null
@@ -197,17 +207,13 @@
 
     private fun afterNotRun(ended: Run, end: RunEnd.NotRun) {
         if (finished) return
-        val fetched = ended.part is RunPart.Decode
+        // The memory of the prompt was not taken over: it lapsed, or the server has no room for it.
+        if (ended.part is RunPart.Decode && end.received) direct = true
         when {
-            fetched && end.received && context.directBudget.take(context.now()) -> {
-                openHandle = null
-                startRun(ended.place, RunPart.Whole)
-            }
-
             arrivals < MAXIMUM_ARRIVALS && context.now() < deadlineAt -> {
                 release(ended.place, end.outcome)
                 freeHandle()
-                excluded += ended.place.server.id
+                if (!end.received) excluded += ended.place.server.id
                 ask(repeated = end.received)
             }
 
@@ -278,12 +284,9 @@
             if (over || head != null) return
             logAttempt(server.id, "run", "silent", "no answer yet", startedAt)
             val again = resumable && ranOn.size < request.route.maximumServers
-            if (!again) {
-                context.dispatch.release(place, PlacePart.RUN, PlaceUse(PlaceOutcome.SILENT))
-                return
-            }
+            context.dispatch.reportSilence(place, PlacePart.RUN)
+            if (!again) return
             stop()
-            context.dispatch.release(place, PlacePart.RUN, PlaceUse(PlaceOutcome.SILENT))
             onRunEnd(this, RunEnd.Broken("server_silent"))
         }
 
