--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -47,6 +47,9 @@
     /** Returns the time after which the pool as a whole has room for one more request like [entry] while it is full. */
     abstract fun timePerRequest(entry: WaitingRequest): Duration
 
+    /** Returns a server that should generate instead of reading prompts, or null. */
+    open fun surplusPrefillServer(demand: DemandAverage, now: Timestamp): ServerLedger? = null
+
     /** Returns the time that the run is expected to take after its first event. */
     open fun runTime(entry: WaitingRequest): Duration = Duration.ZERO
 
@@ -153,7 +156,7 @@
         val decode = ledgers.values
             .filter { it.server.stage != ServerStage.PREFILL && hasRoom(it, work, now) && mayTake(it, entry, now) }
         val prefill = ledgers.values
-            .filter { it.server.stage == ServerStage.PREFILL && mayTake(it, entry, now) && mayRead(it) }
+            .filter { it.server.stage == ServerStage.PREFILL && mayTake(it, entry, now) && mayRead(it, now) }
             .minByOrNull { readingTime(it, work, now) }
         val whole = decode.filter { it.server.stage == ServerStage.WHOLE }
         return if (prefill != null && !work.direct) {
@@ -184,7 +187,8 @@
             (used == 0 || used + memory(work) <= engine.memoryTokens * USABLE_MEMORY)
     }
 
-    private fun mayRead(ledger: ServerLedger): Boolean = ledger.places.size < PREFILL_DEPTH
+    private fun mayRead(ledger: ServerLedger, now: Timestamp): Boolean =
+        ledger.places.size < PREFILL_DEPTH && now >= ledger.switchingUntil
 
     private fun readingTime(ledger: ServerLedger, work: DispatchWork.Generation, now: Timestamp): Duration =
         ledger.timePerUnit(usualToken(), now) * (ledger.promptTokensAhead + work.promptTokens)
@@ -232,6 +236,20 @@
         return maxOf(reading, runTime(entry) * held)
     }
 
+    override fun surplusPrefillServer(demand: DemandAverage, now: Timestamp): ServerLedger? {
+        val perOutput = outputSpeed.perUnit ?: return null
+        if (outputSpeed.samples < MINIMUM_RUNS || demand.samples < MINIMUM_RUNS) return null
+        val (prefill, decode) = ledgers.values.partition { it.server.stage == ServerStage.PREFILL }
+        val held = (demand.promptTokens + demand.outputTokens * AVERAGE_OUTPUT) / engine.memoryTokens
+        val surplus = StagePlan.hasSurplusPrefill(
+            prefill = prefill.size,
+            decode = decode.size,
+            readingTime = usualToken() * (demand.promptTokens + OVERHEAD_TOKENS),
+            holdingTime = perOutput * demand.outputTokens * held,
+        )
+        return if (surplus) prefill.minByOrNull { it.promptTokensAhead } else null
+    }
+
     private fun promptTime(entry: WaitingRequest): Duration {
         val work = entry.work as? DispatchWork.Generation ?: return Duration.ZERO
         return usualToken() * (work.promptTokens + OVERHEAD_TOKENS)
@@ -255,6 +273,9 @@
         /** Part of the expected run that must fit before the caller leaves; expectations are often far off. */
         const val LEAST_RUN = 0.7
 
+        /** Completed runs from which the needs of the requests are known. */
+        const val MINIMUM_RUNS = 10
+
         /** Load, as a share of memory, at which a server in another failure domain is preferred. */
         const val DISTANCE_SHARE = 0.05
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -27,12 +27,16 @@
 import org.arbutusnotch.core.time.Timestamp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Queues, places and refuses the requests of one pool. */
 public class PoolDispatcher(private val budget: RetryBudget) {
     private val ledgers = LinkedHashMap<BackendServerId, ServerLedger>()
     private val waiting = LinkedHashMap<TicketId, WaitingRequest>()
     private val recentGrants = LinkedHashMap<TicketId, RecentGrant>()
+    private val demand = DemandAverage()
+    private var nextStageChange = Timestamp(0)
+
     /** Time of the latest report of places in use. */
     private var reportedAt = Timestamp(0)
 
@@ -137,6 +141,21 @@
         )
     }
 
+    /**
+     * Returns a prefill server that should be ordered to generate, or null. The order is taken as sent: the server gets
+     * no work while it changes, and is not returned again for a while.
+     *
+     * @param switchTime time that a server needs for the change
+     */
+    public fun takeStageChange(switchTime: Duration, now: Timestamp): BackendServer? {
+        if (now < nextStageChange) return null
+        val ledger = selection.surplusPrefillServer(demand, now) ?: return null
+        if (now < ledger.switchingUntil + STAGE_CHANGE_PAUSE) return null
+        nextStageChange = now + switchTime + STAGE_CHANGE_PAUSE
+        ledger.switchingUntil = now + switchTime
+        return ledger.server
+    }
+
     /** Frees places and drops requests whose holders fell silent, refuses what is hopeless, and grants what fits. */
     public fun tick(now: Timestamp): List<DispatchDecision> {
         ledgers.values.forEach { ledger -> ledger.places.values.removeIf { it.expiresAt <= now } }
@@ -193,6 +212,7 @@
     private fun grant(entry: WaitingRequest, places: PlacedRequest, now: Timestamp): DispatchDecision {
         places.prefill?.let { use(it, entry, PlacePart.PREFILL, now) }
         use(places.run, entry, PlacePart.RUN, now)
+        (entry.work as? DispatchWork.Generation)?.let { demand.observe(it.promptTokens, it.outputTokens) }
         val decision = DispatchDecision.Granted(
             ticket = entry.ticket,
             holder = entry.holder,
@@ -233,6 +253,9 @@
         /** Time that a grant may need to its holder and the holder's next report back. */
         val GRANT_TRANSIT = 700.milliseconds
 
+        /** Time after a change of a server's stage in which its new entry arrives everywhere. */
+        val STAGE_CHANGE_PAUSE = 4.seconds
+
         /** Time without new work for a server that rejected a request, since it has less room than is known here. */
         val FULL_PAUSE = 300.milliseconds
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerLedger.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerLedger.kt
@@ -62,6 +62,9 @@
     /** Returns the expected time of one unit of work at [now], or of [usual] where nothing was observed. */
     fun timePerUnit(usual: Duration, now: Timestamp): Duration = (speed.perUnit ?: usual) * slowdown(now)
 
+    /** Time until which the server changes its stage and takes no work. */
+    var switchingUntil: Timestamp = Timestamp(0)
+
     /** Time until which the server gets no new runs, because it rejected one. */
     var fullUntil: Timestamp = Timestamp(0)
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/Route.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/Route.kt
@@ -77,8 +77,13 @@
  *
  * @property slots requests that one engine runs at once
  * @property memoryTokens tokens that the memory of one engine holds
+ * @property stageSwitchTime time that an engine needs to change its stage; null when it cannot
  */
-public data class EngineProfile(public val slots: Int, public val memoryTokens: Int)
+public data class EngineProfile(
+    public val slots: Int,
+    public val memoryTokens: Int,
+    public val stageSwitchTime: Duration? = null,
+)
 
 /** Describes a pool; [engine] is null when it serves plain calls. */
 public data class PoolDefinition(public val pool: PoolId, public val engine: EngineProfile?)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.CallerLimits
 import org.arbutusnotch.core.forwarding.RouteTable
 import org.arbutusnotch.core.forwarding.ServerRegistry
@@ -32,6 +33,7 @@
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.forwarding.dispatch.DispatchClient
 import org.arbutusnotch.forwarding.dispatch.DispatchService
+import org.arbutusnotch.forwarding.dispatch.DispatcherTenure
 import org.arbutusnotch.forwarding.entry.ControlHandler
 import org.arbutusnotch.forwarding.entry.DirectoryHandler
 import org.arbutusnotch.forwarding.entry.MetricsHandler
@@ -99,6 +101,8 @@
         servers = { registry.usable(it) },
         definition = { published.routes?.pools?.get(it) },
         newBudget = { RetryBudget(requestsPerRetry(), (settings.retryAllowance * DISPATCHER_SHARE).toInt()) },
+        mayOrder = { pool, now -> tenure.mayOrder(pool, now) },
+        order = { orderDecodeStage(it) },
         reply = { target, reply -> deliver(target, reply) },
     )
     private val dispatchClient = DispatchClient(
@@ -109,6 +113,7 @@
         send = { target, message -> deliver(target, message) },
         now = { clock.now() },
     )
+    private val tenure = DispatcherTenure({ dispatchClient.isDispatcher(it) }, { membership.seesMajority() })
     private val context = ForwardingContext(
         clock = clock,
         group = group,
@@ -241,6 +246,7 @@
         if (gap > LATE_TICK) log.warn("tick_late") { field("gap_millis", gap.inWholeMilliseconds) }
         try {
             membership.tick(now)
+            tenure.tick(published.routes?.pools?.keys.orEmpty(), now)
             dispatchService.tick(now)
             dispatchClient.tick(now)
             housekeeping(now)
@@ -309,6 +315,20 @@
         },
     )
 
+    private fun orderDecodeStage(server: BackendServer) {
+        val order = protocols.forwarding.decodeStageOrder(server.id, self.address.value, clock.now().epochMillis)
+        log.info("stage_ordered") {
+            field("server", server.id)
+            field("pool", server.pool)
+        }
+        SingleCall(order, ORDER_TIME, ORDER_TIME) { result ->
+            log.info("stage_order_ended") {
+                field("server", server.id)
+                field("result", result.fold(success = { "status ${it.head.status}" }, failure = { it.toString() }))
+            }
+        }.start(socketAddress(server.address), group)
+    }
+
     private fun followers() =
         mapOf(protocols.items.routePrefix to routeFollower, protocols.items.serverPrefix to serverFollower)
 
@@ -376,6 +396,9 @@
         /** Share of the fleet's retry budget that one dispatcher gives out; a second one may dispatch beside it. */
         const val DISPATCHER_SHARE = 0.5
 
+        /** Time to connect for an order to a server, and time until its answer. */
+        val ORDER_TIME = 1.seconds
+
         /** Longest use of a list of addresses by a caller. */
         val LISTS_LIFETIME: Duration = 3.seconds
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
@@ -85,6 +85,14 @@
     /** Returns the handle of a prompt that was read, or null when [body] names none. */
     public fun readPrefillHandle(body: ByteArray): String?
 
+    /**
+     * Returns the request that orders [server] to become a decode server.
+     *
+     * @param holder name of the instance that gives the order
+     * @param fence number that is higher than that of every earlier order
+     */
+    public fun decodeStageOrder(server: BackendServerId, holder: String, fence: Long): HttpRequestMessage
+
     /** Returns the request that frees the memory of [handle] at the server that holds it. */
     public fun freeHandle(server: BackendServerId, handle: String): HttpRequestMessage
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -243,6 +243,9 @@
         )
     }
 
+    /** Whether this instance dispatches for [pool], by its own view. */
+    fun isDispatcher(pool: PoolId): Boolean = candidates().isNotEmpty() && dispatcherOf(pool) == self.address
+
     private fun dispatcherOf(pool: PoolId): InstanceAddress {
         val line = candidates().filter { it !in passedOver }
         return RendezvousHash.select(pool.value, line) { it.value } ?: self.address
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -23,12 +23,16 @@
  * @param servers returns the servers of all pools that may get new work
  * @param definition returns what the configuration says of a pool
  * @param newBudget creates the retry budget of a pool
+ * @param mayOrder returns whether this instance alone may order servers of a pool
+ * @param order orders a server to become a decode server
  * @param reply sends a reply to the instance at an address
  */
 internal class DispatchService(
     private val servers: (Timestamp) -> List<BackendServer>,
     private val definition: (PoolId) -> PoolDefinition?,
     private val newBudget: () -> RetryBudget,
+    private val mayOrder: (PoolId, Timestamp) -> Boolean,
+    private val order: (BackendServer) -> Unit,
     private val reply: (InstanceAddress, DispatchReply) -> Unit,
 ) {
     private val log = EventLog("dispatch")
@@ -61,9 +65,15 @@
         dispatchers.forEach { (pool, dispatcher) ->
             dispatcher.configure(usable[pool].orEmpty(), definition(pool)?.engine)
             deliver(dispatcher.tick(now))
+            changeStages(pool, dispatcher, now)
         }
     }
 
+    private fun changeStages(pool: PoolId, dispatcher: PoolDispatcher, now: Timestamp) {
+        val switchTime = definition(pool)?.engine?.stageSwitchTime ?: return
+        if (mayOrder(pool, now)) dispatcher.takeStageChange(switchTime, now)?.let { order(it) }
+    }
+
     private fun dispatcher(pool: PoolId, now: Timestamp): PoolDispatcher = dispatchers.getOrPut(pool) {
         PoolDispatcher(newBudget()).also { created ->
             created.configure(servers(now).filter { it.pool == pool }, definition(pool)?.engine)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
@@ -36,6 +36,12 @@
     /** Instances with which messages were exchanged lately, without this one. */
     fun reachablePeers(): List<InstanceView> = table.reachablePeers()
 
+    /** Whether more than half of the known instances are reachable; a minority that is cut off must give no orders. */
+    fun seesMajority(): Boolean {
+        val views = table.views()
+        return views.count { it.reachable } * 2 > views.size
+    }
+
     fun replaceSeeds(seeds: List<InstanceAddress>) {
         table.seeds = seeds
     }
