--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -68,8 +68,8 @@
     }
 
     /**
-     * Returns how much work [ledger] may get. When more than half of the servers of a stage look unhealthy, the cause is
-     * rather the way to them or the requests, and each of them gets more than it would alone. Prefill servers are
+     * Returns how much work [ledger] may get. When more than half of the servers of a stage look unhealthy, the cause
+     * is rather the way to them or the requests, and each of them gets more than it would alone. Prefill servers are
      * excepted, because decode servers can do their work.
      */
     private fun admission(ledger: ServerLedger, domain: FailureDomainId, now: Timestamp): Admission {
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -81,7 +81,7 @@
             return listOf(DispatchDecision.Queued(request.ticket, request.holder))
         }
         val entry = WaitingRequest.of(request, now)
-        if (waiting.isEmpty() && now - reportedAt > REPORTS_LIFETIME && placesInUse == 0) informedAt = now + REPORTS_TIME
+        if (isUninformed(now)) informedAt = now + REPORTS_TIME
         val refusal = refusalOf(request, entry, now)
         if (refusal != null) return listOf(entry.refused(refusal))
         waiting[request.ticket] = entry
@@ -90,6 +90,9 @@
         return decisions + DispatchDecision.Queued(request.ticket, request.holder)
     }
 
+    private fun isUninformed(now: Timestamp): Boolean =
+        waiting.isEmpty() && placesInUse == 0 && now - reportedAt > REPORTS_LIFETIME
+
     /** Frees a place, or withdraws a waiting request, and returns the decisions that follow from it. */
     public fun release(release: DispatchRelease, now: Timestamp): List<DispatchDecision> {
         waiting.remove(release.ticket)
@@ -107,7 +110,9 @@
         return pump(now)
     }
 
-    /** Takes over the places that a holder uses: unlisted ones are free, unknown ones were granted by another dispatcher. */
+    /**
+     * Takes over the places that a holder uses: unlisted ones are free, unknown ones another dispatcher has granted.
+     */
     public fun renew(held: HeldPlaces, now: Timestamp): List<DispatchDecision> {
         reportedAt = now
         val listed = held.places.associateBy { PlaceKey(it.ticket, it.part) }
@@ -190,15 +195,19 @@
             decisions += it.refused(DispatchRefusal.OVERLOADED)
         }
         for (entry in inOrder(now)) {
-            // A run that a server has no memory for is rejected after its prompt was read, so places must be known.
-            if (entry.work is DispatchWork.Generation && now < informedAt) break
-            val granted = selection.place(entry, now) ?: break
+            val granted = place(entry, now) ?: break
             waiting.remove(entry.ticket)
             decisions += grant(entry, granted, now)
         }
         return decisions
     }
 
+    /** A run that a server has no memory for is rejected after its prompt was read, so places must be known. */
+    private fun place(entry: WaitingRequest, now: Timestamp): PlacedRequest? {
+        val mustWait = entry.work is DispatchWork.Generation && now < informedAt
+        return if (mustWait) null else selection.place(entry, now)
+    }
+
     /**
      * Orders requests that can be on time before late ones, then by priority and objective. A long run counts as if its
      * objective were later: while places are short, several short runs are served in the time of a long one.
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
@@ -27,7 +27,7 @@
      *
      * @property promptTokens tokens to read
      * @property outputTokens tokens that are expected to be generated
-     * @property direct whether the decode server is to read the prompt itself, after memory of a prompt was not taken over
+     * @property direct whether the decode server is to read the prompt itself
      */
     @Serializable
     @SerialName("g")
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
@@ -66,7 +66,11 @@
     @Test
     fun `server that rejects requests is taken for full`() {
         val fixture = DispatchFixture(
-            listOf(server("p", ServerStage.PREFILL, 16), server("d", ServerStage.DECODE, 16), server("e", ServerStage.DECODE, 16)),
+            listOf(
+                server("p", ServerStage.PREFILL, 16),
+                server("d", ServerStage.DECODE, 16),
+                server("e", ServerStage.DECODE, 16),
+            ),
             EngineProfile(slots = 16, memoryTokens = 38_000),
         )
         val first = fixture.generate().granted().single()
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -390,7 +390,7 @@
         /** Share of the drain time for which a server whose entry disappeared still gets work. */
         const val REMOVED_SHARE = 0.6
 
-        /** Time for which entries that lapsed are believed after trouble with the store: live servers return by then. */
+        /** Time for which lapsed entries are believed after trouble with the store: live servers return by then. */
         val TROUBLED_GRACE = 2_500.milliseconds
 
         /** Share of the fleet's retry budget that one dispatcher gives out; a second one may dispatch beside it. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatcherTenure.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatcherTenure.kt
@@ -12,11 +12,14 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Tracks the tenure of this instance for each pool. */
-internal class DispatcherTenure(private val isDispatcher: (PoolId) -> Boolean, private val seesMajority: () -> Boolean) {
+internal class DispatcherTenure(
+    private val isDispatcher: (PoolId) -> Boolean,
+    private val seesMajority: () -> Boolean,
+) {
     private val since = HashMap<PoolId, Timestamp>()
     private var lastTick: Timestamp? = null
 
-    /** Updates the tenure for [pools]; a gap between ticks ends it, because a paused instance may have been replaced. */
+    /** Updates the tenure for [pools]; a gap between ticks ends it, since a paused instance may have been replaced. */
     fun tick(pools: Collection<PoolId>, now: Timestamp) {
         val previous = lastTick
         lastTick = now
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingCounters.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingCounters.kt
@@ -16,6 +16,7 @@
     private val timers = HashMap<String, Timer>()
 
     /** Counts a request that ended with [outcome] for [reason]. */
+    @Suppress("SpreadOperator") // The library takes the bounds in no other form, and each timer is built once.
     fun ended(outcome: String, reason: String, elapsed: Duration) {
         counters.getOrPut(outcome to reason) {
             Counter.builder("arbutusnotch_requests").tag("outcome", outcome).tag("reason", reason).register(registry)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
@@ -27,17 +27,10 @@
         val caller = context.protocol.readRequest(request.head)
         val route = table?.find(request.head.header("host").orEmpty(), request.head.path)
         val pool = route?.selectPool(context.random)
-        val rejection = when {
-            table == null -> Rejection("no_configuration", OwnAnswers.refusal("no_configuration", NO_ROUTES_RETRY))
-            caller == null -> Rejection("missing_request_id", OwnAnswers.missingId())
-            route == null -> Rejection("unknown_route", OwnAnswers.unknownRoute())
-            pool == null -> Rejection("no_pool", OwnAnswers.refusal("no_pool", NO_ROUTES_RETRY))
-            else -> null
-        }
-        if (rejection != null || caller == null || route == null || pool == null) {
-            rejection?.let { reject(it, caller, table, responder) }
-            return null
-        }
+        if (table == null) return reject("no_configuration", NOT_YET, caller, table, responder)
+        if (caller == null) return reject("missing_request_id", OwnAnswers.missingId(), caller, table, responder)
+        if (route == null) return reject("unknown_route", OwnAnswers.unknownRoute(), caller, table, responder)
+        if (pool == null) return reject("no_pool", NOT_YET, caller, table, responder)
         val endToEnd = ConnectionHeaders.passedOn(request.head, context.protocol.endToEndHeaders)
         val message = HttpRequestMessage(request.head.copy(headers = endToEnd), request.body)
         val routed = RoutedRequest(message, caller, route, pool, workOf(route, caller))
@@ -68,21 +61,27 @@
         RouteKind.IdempotentCall, RouteKind.SingleRunCall -> DispatchWork.Call
     }
 
-    private fun reject(rejection: Rejection, caller: CallerRequest?, table: RouteTable?, responder: Responder) {
-        context.counters.ended("rejected", rejection.reason, Duration.ZERO)
+    private fun reject(
+        reason: String,
+        head: ResponseHead,
+        caller: CallerRequest?,
+        table: RouteTable?,
+        responder: Responder,
+    ): CallerDeparture? {
+        context.counters.ended("rejected", reason, Duration.ZERO)
         log.info("request_rejected") {
             field("request", caller?.id)
-            field("reason", rejection.reason)
-            field("status", rejection.head.status)
+            field("reason", reason)
+            field("status", head.status)
             field("revision", table?.revision)
         }
-        responder.send(rejection.head, ByteArray(0))
+        responder.send(head, ByteArray(0))
+        return null
     }
 
-    private class Rejection(val reason: String, val head: ResponseHead)
-
     private companion object {
         /** Time after which an instance that has just started has its routes. */
         val NO_ROUTES_RETRY = 400.milliseconds
+        val NOT_YET = OwnAnswers.refusal("no_configuration", NO_ROUTES_RETRY)
     }
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -109,10 +109,12 @@
     private fun notPrefilled(end: CallEnd, place: GrantedPlace, startedAt: Timestamp): RunPart.Decode? {
         when (end) {
             is CallEnd.NotSent -> endPrefill(place, PlaceOutcome.UNREACHABLE, end.detail, startedAt, 0)
+
             is CallEnd.Broken -> {
                 context.dispatch.reportSilence(place, PlacePart.PREFILL)
                 endPrefill(place, PlaceOutcome.BROKEN, end.detail, startedAt, 0)
             }
+
             is CallEnd.Complete -> Unit
         }
         return null
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/StrictRequests.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/StrictRequests.kt
@@ -24,20 +24,23 @@
     /** Returns what is wrong with [head], or null. */
     fun faultOf(head: RequestHead, version: String): RequestFault? {
         val codings = head.headers.filter { it.name.equals("transfer-encoding", ignoreCase = true) }
+        val lengths = head.headers.filter { it.name.equals("content-length", ignoreCase = true) }
         return when {
             version != "HTTP/1.1" -> RequestFault.UNSUPPORTED_VERSION
-            !isToken(head.method) || !isTarget(head.target) -> RequestFault.MALFORMED
-            head.headers.any { !isToken(it.name) || hasControls(it.value) } -> RequestFault.MALFORMED
-            head.count("host") != 1 -> RequestFault.MALFORMED
-            head.count("content-length") > 1 -> RequestFault.MALFORMED
-            head.header("content-length")?.let { !isLength(it) } == true -> RequestFault.MALFORMED
-            codings.isNotEmpty() && head.count("content-length") > 0 -> RequestFault.MALFORMED
-            codings.size > 1 -> RequestFault.MALFORMED
+            !isWellFormed(head) -> RequestFault.MALFORMED
+            lengths.size + codings.size > 1 -> RequestFault.MALFORMED
+            lengths.any { !isLength(it.value) } -> RequestFault.MALFORMED
             codings.any { !it.value.equals("chunked", ignoreCase = true) } -> RequestFault.UNKNOWN_TRANSFER_CODING
             else -> null
         }
     }
 
+    private fun isWellFormed(head: RequestHead): Boolean {
+        val validLine = isToken(head.method) && isTarget(head.target)
+        val validHeaders = head.headers.all { isToken(it.name) && !hasControls(it.value) }
+        return validLine && validHeaders && head.count("host") == 1
+    }
+
     private fun isToken(text: String) = text.isNotEmpty() && text.all { isTokenCharacter(it) }
 
     private fun isTokenCharacter(character: Char) =
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/GenerationTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/GenerationTest.kt
@@ -33,7 +33,7 @@
     private val prefill = server { if (request.firstLine.startsWith("DELETE")) answer() else answer(body = "handle-7") }
 
     private fun fixture(vararg decode: ScriptedServer, prefillServer: ScriptedServer? = prefill): InstanceFixture {
-        val servers = decode.mapIndexed { index, it -> testServer("d$index", it.address, ServerStage.DECODE) } +
+        val servers = decode.mapIndexed { index, server -> testServer("d$index", server.address, ServerStage.DECODE) } +
             listOfNotNull(prefillServer?.let { testServer("p", it.address, ServerStage.PREFILL) })
         return InstanceFixture(servers = servers).also { open += it }
     }
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LifecycleTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LifecycleTest.kt
@@ -16,7 +16,7 @@
 import java.util.concurrent.TimeUnit
 
 class LifecycleTest {
-    /** Guards against requests that a planned stop interrupts, and against callers that are sent to a stopping instance. */
+    /** Guards against requests that a planned stop interrupts, and against callers sent to a stopping instance. */
     @Test
     fun `shutdown completes requests that are running`() {
         val continues = CountDownLatch(1)
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerFaultTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerFaultTest.kt
@@ -1,5 +1,6 @@
 /*
- * Faulty answers of backend servers: no caller gets a broken answer as a whole one, and nothing runs twice that must not.
+ * Faulty answers of backend servers: no caller gets a broken answer as a whole one, and nothing runs twice that must
+ * not.
  */
 package org.arbutusnotch.forwarding
 
--- a/arbutusnotch-telemetry/src/main/kotlin/org/arbutusnotch/telemetry/ConsoleLogging.kt
+++ b/arbutusnotch-telemetry/src/main/kotlin/org/arbutusnotch/telemetry/ConsoleLogging.kt
@@ -44,7 +44,8 @@
     }
 
     private companion object {
-        const val PATTERN = "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX, UTC} level=%level component=%logger{0} %msg%n%ex{short}"
+        const val PATTERN =
+            "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX, UTC} level=%level component=%logger{0} %msg%n%ex{short}"
 
         /** Events that wait to be written; above it events are dropped. */
         const val QUEUE_SIZE = 2_048
