--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -56,7 +56,12 @@
 internal sealed interface PlaceAnswer {
     data class Granted(val place: GrantedPlace) : PlaceAnswer
 
-    data class Refused(val reason: DispatchRefusal, val retryAfter: Duration) : PlaceAnswer
+    data class Refused(
+        val ticket: TicketId,
+        val dispatcher: InstanceAddress,
+        val reason: DispatchRefusal,
+        val retryAfter: Duration,
+    ) : PlaceAnswer
 }
 
 /** Describes how a place was used. */
@@ -178,7 +183,8 @@
         }
         val excluded = asked.question.excluded + unusable
         if (excluded.size > MAXIMUM_EXCLUDED) {
-            asked.onAnswer(PlaceAnswer.Refused(DispatchRefusal.NO_SERVER, NO_SERVER_RETRY))
+            val refusal = DispatchRefusal.NO_SERVER
+            asked.onAnswer(PlaceAnswer.Refused(reply.ticket, self.address, refusal, NO_SERVER_RETRY))
         } else {
             ask(asked.question.copy(excluded = excluded), asked.onAnswer)
         }
@@ -193,7 +199,7 @@
             return
         }
         pending.remove(reply.ticket)
-        asked.onAnswer(PlaceAnswer.Refused(reply.reason, reply.retryMillis.milliseconds))
+        asked.onAnswer(PlaceAnswer.Refused(reply.ticket, sender, reply.reason, reply.retryMillis.milliseconds))
     }
 
     /** Repeats questions and reports the places in use. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -47,16 +47,16 @@
         get() = dispatchers.values.sumOf { it.placesInUse }
 
     fun onRequest(request: DispatchRequest, now: Timestamp) {
-        deliver(dispatcher(request.pool, now).submit(request, now))
+        deliver(request.pool, dispatcher(request.pool, now).submit(request, now))
     }
 
     fun onRelease(release: DispatchRelease, now: Timestamp) {
         val dispatcher = dispatchers[release.pool] ?: return
-        deliver(dispatcher.release(release, now))
+        deliver(release.pool, dispatcher.release(release, now))
     }
 
     fun onHeld(held: HeldPlaces, now: Timestamp) {
-        deliver(dispatcher(held.pool, now).renew(held, now))
+        deliver(held.pool, dispatcher(held.pool, now).renew(held, now))
     }
 
     fun tick(now: Timestamp) {
@@ -64,7 +64,7 @@
         val usable = servers(now).groupBy { it.pool }
         dispatchers.forEach { (pool, dispatcher) ->
             dispatcher.configure(usable[pool].orEmpty(), definition(pool)?.engine)
-            deliver(dispatcher.tick(now))
+            deliver(pool, dispatcher.tick(now))
             changeStages(pool, dispatcher, now)
         }
     }
@@ -80,13 +80,25 @@
         }
     }
 
-    private fun deliver(decisions: List<DispatchDecision>) {
+    private fun deliver(pool: PoolId, decisions: List<DispatchDecision>) {
         decisions.forEach { decision ->
-            log.debug("dispatch_decided") { field("decision", decision) }
+            if (decision is DispatchDecision.Refused) logRefusal(pool, decision)
             reply(decision.holder.address, replyOf(decision))
         }
     }
 
+    private fun logRefusal(pool: PoolId, refusal: DispatchDecision.Refused) {
+        val dispatcher = dispatchers[pool]
+        log.info("dispatch_refused") {
+            field("ticket", refusal.ticket)
+            field("pool", pool)
+            field("reason", refusal.reason)
+            field("waiting", dispatcher?.queueLength)
+            field("places_in_use", dispatcher?.placesInUse)
+            field("retry_millis", refusal.retryAfter.inWholeMilliseconds)
+        }
+    }
+
     private fun replyOf(decision: DispatchDecision): DispatchReply = when (decision) {
         is DispatchDecision.Granted ->
             DispatchReply.Granted(decision.ticket, decision.server, decision.prefillServer)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -106,13 +106,27 @@
                 if (finished) unused(answer.place) else onPlace(answer.place)
             }
 
-            is PlaceAnswer.Refused -> if (!finished) onNoPlace(answer.reason, answer.retryAfter)
+            is PlaceAnswer.Refused -> {
+                logRefusal(answer)
+                if (!finished) onNoPlace(answer.reason, answer.retryAfter)
+            }
+        }
+    }
+
+    private fun logRefusal(refusal: PlaceAnswer.Refused) {
+        log.info("place_refused") {
+            field("request", request.caller.id)
+            field("ticket", refusal.ticket)
+            field("dispatcher", refusal.dispatcher)
+            field("reason", refusal.reason.code())
+            field("retry_millis", refusal.retryAfter.inWholeMilliseconds)
         }
     }
 
     private fun logPlace(place: GrantedPlace) {
         log.info("place_granted") {
             field("request", request.caller.id)
+            field("ticket", place.ticket)
             field("pool", place.pool)
             field("server", place.server.id)
             field("prefill_server", place.prefillServer?.id)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
@@ -80,8 +80,11 @@
     }
 
     private companion object {
-        /** Time after which an instance that has just started has its routes. */
-        val NO_ROUTES_RETRY = 400.milliseconds
+        /**
+         * Time after which an instance without routes is expected to have them. It starts in well under a second; one
+         * that still has none waits for the store, which is away for seconds.
+         */
+        val NO_ROUTES_RETRY = 1_500.milliseconds
         val NOT_YET = OwnAnswers.refusal("no_configuration", NO_ROUTES_RETRY)
     }
 }
