--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -239,6 +239,7 @@
         }
     }
 
+    @Suppress("TooGenericExceptionCaught") // A scheduled task that throws is never run again.
     private fun tick() {
         val now = clock.now()
         val gap = now - lastTick
@@ -251,8 +252,7 @@
             dispatchClient.tick(now)
             housekeeping(now)
             advanceShutdown(now)
-        } catch (failure: IllegalStateException) {
-            // A scheduled task that throws is never run again.
+        } catch (failure: RuntimeException) {
             log.error("tick_failed", failure)
         }
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -214,6 +214,8 @@
     }
 
     private fun repeat(ticket: TicketId, asked: PendingQuestion, now: Timestamp) {
+        // An earlier question of the same round may have been answered at once and ended this one.
+        if (pending[ticket] !== asked) return
         if (asked.unanswered >= SENDINGS_WITHOUT_ANSWER && asked.dispatcher != self.address) {
             log.info("dispatcher_silent") {
                 field("dispatcher", asked.dispatcher)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -62,7 +62,8 @@
     fun tick(now: Timestamp) {
         if (dispatchers.isEmpty()) return
         val usable = servers(now).groupBy { it.pool }
-        dispatchers.forEach { (pool, dispatcher) ->
+        // A decision may end a request of this instance and begin one for a pool that has no dispatcher yet.
+        dispatchers.entries.toList().forEach { (pool, dispatcher) ->
             dispatcher.configure(usable[pool].orEmpty(), definition(pool)?.engine)
             deliver(pool, dispatcher.tick(now))
             changeStages(pool, dispatcher, now)
--- /dev/null
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchServiceTest.kt
@@ -0,0 +1,61 @@
+/*
+ * Dispatching for several pools.
+ */
+package org.arbutusnotch.forwarding.dispatch
+
+import org.arbutusnotch.core.id.FailureDomainId
+import org.arbutusnotch.core.id.Incarnation
+import org.arbutusnotch.core.id.InstanceAddress
+import org.arbutusnotch.core.id.InstanceId
+import org.arbutusnotch.core.id.PoolId
+import org.arbutusnotch.core.id.TicketId
+import org.arbutusnotch.core.message.DispatchReply
+import org.arbutusnotch.core.message.DispatchRequest
+import org.arbutusnotch.core.message.DispatchWork
+import org.arbutusnotch.core.retry.RetryBudget
+import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.forwarding.fixture.testServer
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+
+class DispatchServiceTest {
+    private val holder = InstanceId(InstanceAddress("127.0.0.1:1"), Incarnation(1))
+    private val now = Timestamp(1_000_000)
+
+    private fun request(ticket: String, pool: String, remaining: Long) = DispatchRequest(
+        ticket = TicketId(ticket),
+        holder = holder,
+        failureDomain = FailureDomainId("one"),
+        pool = PoolId(pool),
+        work = DispatchWork.Call,
+        priority = 1,
+        objectiveMillis = 100,
+        beginMillis = remaining,
+        remainingMillis = remaining,
+    )
+
+    /** Guards against a decision of the periodic work that begins a request for a pool without a dispatcher. */
+    @Test
+    fun `pool may appear while decisions are delivered`() {
+        val replies = mutableListOf<DispatchReply>()
+        var service: DispatchService? = null
+        val created = DispatchService(
+            servers = { listOf(testServer("a", "127.0.0.1:2", pool = "first")) },
+            definition = { null },
+            newBudget = { RetryBudget() },
+            mayOrder = { _, _ -> false },
+            order = {},
+            reply = { _, reply ->
+                replies += reply
+                val refused = reply is DispatchReply.Refused && reply.ticket.value == "waits"
+                if (refused) service?.onRequest(request("next", "second", remaining = 1_000), now)
+            },
+        )
+        service = created
+        repeat(5) { created.onRequest(request("r$it", "first", remaining = 5_000), now) }
+        created.onRequest(request("waits", "first", remaining = 200), now)
+        created.tick(Timestamp(now.epochMillis + 190))
+        expectThat(replies.map { it.ticket.value }).contains("next")
+    }
+}
