--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/BackendServer.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/BackendServer.kt
@@ -11,6 +11,7 @@
 import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.time.Timestamp
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Names the work that a backend server takes. */
 public enum class ServerStage {
@@ -103,6 +104,6 @@
 
     private companion object {
         /** Longest time for which an entry that lapsed during trouble is believed. */
-        val LAPSE_LIMIT = Duration.parse("30s")
+        val LAPSE_LIMIT = 30.seconds
     }
 }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
@@ -5,6 +5,7 @@
 
 import org.arbutusnotch.core.dispatch.DispatchFixture.Companion.server
 import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.TicketId
 import org.arbutusnotch.core.message.DispatchRefusal
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.message.HeldPlace
@@ -96,7 +97,7 @@
     fun `reported place of another dispatcher counts`() {
         val fixture = DispatchFixture(listOf(server("a", slots = 1)))
         val held = (1..2).map {
-            HeldPlace(org.arbutusnotch.core.id.TicketId("old$it"), BackendServerId("a"), PlacePart.RUN, 0)
+            HeldPlace(TicketId("old$it"), BackendServerId("a"), PlacePart.RUN, 0)
         }
         fixture.dispatcher.renew(HeldPlaces(DispatchFixture.HOLDER, DispatchFixture.POOL, held), fixture.now)
         expectThat(fixture.submitCall().granted()).isEmpty()
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
@@ -7,6 +7,7 @@
 import org.arbutusnotch.core.forwarding.EngineProfile
 import org.arbutusnotch.core.forwarding.ServerStage
 import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.TicketId
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.message.PlaceOutcome
 import org.arbutusnotch.core.message.PlacePart
@@ -19,8 +20,10 @@
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNull
+import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -173,8 +176,8 @@
         (1..2).map { server("p$it", ServerStage.PREFILL, 16) } + (1..3).map { server("d$it", ServerStage.DECODE, 16) },
         EngineProfile(slots = 16, memoryTokens = 38_000),
     )
-    private val ends = java.util.PriorityQueue<End>(compareBy { it.at })
-    private val arrivals = HashMap<org.arbutusnotch.core.id.TicketId, Arrival>()
+    private val ends = PriorityQueue<End>(compareBy { it.at })
+    private val arrivals = HashMap<TicketId, Arrival>()
     private val started = ArrayList<Pair<Arrival, Duration>>()
 
     private class Arrival(val at: Duration, val work: DispatchWork.Generation)
@@ -256,7 +259,7 @@
         val STEP = 10.milliseconds
         val OBJECTIVE = 900.milliseconds
         val TOKEN = 50.milliseconds
-        val TOKEN_READING = Duration.parse("30us")
+        val TOKEN_READING = 30.microseconds
         const val DECODE_MEMORY = 3 * 38_000.0
         const val MILLIS = 1_000.0
         const val LONG = 100
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -55,6 +55,7 @@
 import org.arbutusnotch.forwarding.registry.SnapshotItem
 import org.arbutusnotch.forwarding.registry.SnapshotPart
 import org.arbutusnotch.forwarding.registry.StoreFollower
+import org.arbutusnotch.forwarding.registry.StoreListener
 import org.arbutusnotch.forwarding.registry.StoreProtocol
 import org.arbutusnotch.forwarding.registry.StoreSnapshot
 import org.arbutusnotch.telemetry.EventLog
@@ -187,7 +188,7 @@
         heartbeat = 0,
     )
 
-    private fun follower(prefix: String, listener: org.arbutusnotch.forwarding.registry.StoreListener) = StoreFollower(
+    private fun follower(prefix: String, listener: StoreListener) = StoreFollower(
         prefix = prefix,
         address = socketAddress(settings.storeAddress),
         protocol = protocols.store,
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -5,6 +5,7 @@
 package org.arbutusnotch.forwarding.exchange
 
 import io.netty.buffer.ByteBuf
+import org.arbutusnotch.core.message.DispatchRefusal
 import org.arbutusnotch.core.message.PlaceOutcome
 import org.arbutusnotch.core.message.PlacePart
 import org.arbutusnotch.core.time.Timestamp
@@ -86,7 +87,7 @@
         if (failure != null) deliver(failure.head, failure.body) else fail(BAD_GATEWAY, reason)
     }
 
-    override fun onNoPlace(reason: org.arbutusnotch.core.message.DispatchRefusal, retryAfter: Duration) {
+    override fun onNoPlace(reason: DispatchRefusal, retryAfter: Duration) {
         if (lastFailure != null) endAfterFailure(reason.code()) else super.onNoPlace(reason, retryAfter)
     }
 
@@ -157,16 +158,14 @@
 
         private fun resultOf(end: CallEnd): AttemptResult = when (end) {
             is CallEnd.NotSent -> notRun(PlaceOutcome.UNREACHABLE, end.detail, received = false)
+
             is CallEnd.Broken -> AttemptResult.Unknown(end.detail)
-            is CallEnd.Complete -> resultOf(head, facts)
-        }
 
-        private fun resultOf(head: ResponseHead?, facts: ServerAnswer?): AttemptResult = when {
-            head == null || facts == null -> AttemptResult.Unknown("no head")
-            facts.notRun -> notRun(PlaceOutcome.NOT_RUN, "status ${head.status}", received = true)
-            facts.requestId != request.caller.id -> AttemptResult.Unknown("answer to another request")
-            !facts.sealed && head.status in SUCCESS -> AttemptResult.Unknown("answer without seal")
-            else -> AttemptResult.Answered(head, body.toByteArray())
+            is CallEnd.Complete -> when (val verdict = AnswerVerdict.of(head, facts, request.caller.id)) {
+                is AnswerVerdict.Valid -> AttemptResult.Answered(verdict.head, body.toByteArray())
+                is AnswerVerdict.NotRun -> notRun(PlaceOutcome.NOT_RUN, verdict.detail, received = true)
+                is AnswerVerdict.Invalid -> AttemptResult.Unknown(verdict.detail)
+            }
         }
 
         private fun notRun(outcome: PlaceOutcome, detail: String, received: Boolean): AttemptResult {
@@ -203,7 +202,6 @@
 
     private companion object {
         const val FIRST_SERVER_ERROR = 500
-        val SUCCESS = 200..299
 
         /** Servers that may receive one request, those that reject it included. */
         const val MAXIMUM_ARRIVALS = 3
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -197,7 +197,7 @@
         when {
             !begun -> deliver(end.head, end.body)
 
-            end.head.status !in SUCCESS -> breakOff("status ${end.head.status}")
+            end.head.status !in AnswerVerdict.SUCCESS -> breakOff("status ${end.head.status}")
 
             else -> {
                 finish("answered", end.head.status.toString())
@@ -299,7 +299,8 @@
         }
 
         private val streams: Boolean
-            get() = head?.status in SUCCESS && facts?.sealed == true && facts?.requestId == request.caller.id
+            get() = head?.status in AnswerVerdict.SUCCESS && facts?.sealed == true &&
+                facts?.requestId == request.caller.id
 
         override fun onPart(content: ByteBuf) {
             val received = head
@@ -328,7 +329,13 @@
             val result = resultOf(end)
             val outcome = when (result) {
                 is RunEnd.Completed ->
-                    if (result.head.status in SUCCESS) PlaceOutcome.COMPLETED else PlaceOutcome.SERVER_FAILED
+                    if (result.head.status in
+                        AnswerVerdict.SUCCESS
+                    ) {
+                        PlaceOutcome.COMPLETED
+                    } else {
+                        PlaceOutcome.SERVER_FAILED
+                    }
 
                 is RunEnd.NotRun -> result.outcome
 
@@ -345,16 +352,14 @@
 
         private fun resultOf(end: CallEnd): RunEnd = when (end) {
             is CallEnd.NotSent -> notRun(PlaceOutcome.UNREACHABLE, end.detail, received = false)
+
             is CallEnd.Broken -> RunEnd.Broken(end.detail)
-            is CallEnd.Complete -> resultOf(head, facts)
-        }
 
-        private fun resultOf(head: ResponseHead?, facts: ServerAnswer?): RunEnd = when {
-            head == null || facts == null -> RunEnd.Broken("no head")
-            facts.notRun -> notRun(PlaceOutcome.NOT_RUN, "status ${head.status}", received = true)
-            facts.requestId != request.caller.id -> RunEnd.Broken("answer to another request")
-            !facts.sealed && head.status in SUCCESS -> RunEnd.Broken("answer without seal")
-            else -> RunEnd.Completed(head, body.toByteArray(), describe(head))
+            is CallEnd.Complete -> when (val verdict = AnswerVerdict.of(head, facts, request.caller.id)) {
+                is AnswerVerdict.Valid -> RunEnd.Completed(verdict.head, body.toByteArray(), describe(verdict.head))
+                is AnswerVerdict.NotRun -> notRun(PlaceOutcome.NOT_RUN, verdict.detail, received = true)
+                is AnswerVerdict.Invalid -> RunEnd.Broken(verdict.detail)
+            }
         }
 
         private fun describe(head: ResponseHead) =
@@ -385,7 +390,6 @@
 
     private companion object {
         const val OK = 200
-        val SUCCESS = 200..299
 
         /** Servers that may receive the run of one request, those that reject it included. */
         const val MAXIMUM_ARRIVALS = 3
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/GenerationTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/GenerationTest.kt
@@ -20,6 +20,7 @@
 import strikt.assertions.isTrue
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 
 class GenerationTest {
@@ -160,7 +161,7 @@
     /** Guards against engine memory and work that stay after their caller has left. */
     @Test
     fun `caller that leaves ends the run`() {
-        val closed = java.util.concurrent.atomic.AtomicBoolean()
+        val closed = AtomicBoolean()
         val decode = server {
             streamHead()
             event(1)
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LifecycleTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LifecycleTest.kt
@@ -3,6 +3,7 @@
  */
 package org.arbutusnotch.forwarding
 
+import org.arbutusnotch.core.forwarding.RouteTable
 import org.arbutusnotch.forwarding.fixture.InstanceFixture
 import org.arbutusnotch.forwarding.fixture.RawCaller
 import org.arbutusnotch.forwarding.fixture.ScriptedServer
@@ -47,7 +48,7 @@
             val routes = testRoutes(revision = 7)
             fixture.store.put(
                 "routes/table",
-                org.arbutusnotch.core.forwarding.RouteTable(
+                RouteTable(
                     routes.revision,
                     routes.routes.filter { it.prefix != "/safe/" },
                     routes.pools,
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerFaultTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerFaultTest.kt
@@ -18,6 +18,8 @@
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
 
 class ServerFaultTest {
@@ -29,7 +31,7 @@
         first: AnswerWriter.() -> Unit,
         others: AnswerWriter.() -> Unit = { answer(body = "second") },
     ): Outcome {
-        val arrivals = java.util.concurrent.atomic.AtomicInteger()
+        val arrivals = AtomicInteger()
         val script: AnswerWriter.() -> Unit = { if (arrivals.incrementAndGet() == 1) first() else others() }
         val servers = listOf(ScriptedServer(script), ScriptedServer(script))
         val registered = servers.mapIndexed { index, server -> testServer("s$index", server.address) }
@@ -180,7 +182,7 @@
     /** Guards against servers that work for callers who have left. */
     @Test
     fun `caller that leaves ends the work of an idempotent call`() {
-        val closed = java.util.concurrent.atomic.AtomicBoolean()
+        val closed = AtomicBoolean()
         val server = ScriptedServer { closed.set(awaitClose(3_000)) }
         InstanceFixture(servers = listOf(testServer("a", server.address))).use { fixture ->
             RawCaller(fixture.front).use { caller ->
