--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
@@ -14,6 +14,10 @@
 import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.id.TicketId
 
+/** Is implemented by the messages between holders of requests and dispatchers. */
+@Serializable
+public sealed interface DispatchMessage : PeerMessage
+
 /** Describes what a request needs of a backend server. */
 @Serializable
 public sealed interface DispatchWork {
@@ -62,7 +66,7 @@
     @SerialName("d") public val remainingMillis: Long,
     @SerialName("x") public val excluded: List<BackendServerId> = emptyList(),
     @SerialName("r") public val repeated: Boolean = false,
-) : PeerMessage
+) : DispatchMessage
 
 /** Names why a request gets no place. */
 @Serializable
@@ -79,7 +83,7 @@
 
 /** Answers a [DispatchRequest]. */
 @Serializable
-public sealed interface DispatchReply : PeerMessage {
+public sealed interface DispatchReply : DispatchMessage {
     /** Ticket of the request. */
     public val ticket: TicketId
 
@@ -166,7 +170,7 @@
     @SerialName("i") public val firstMillis: Long = 0,
     @SerialName("n") public val events: Int = 0,
     @SerialName("l") public val slowdownPercent: Int = 0,
-) : PeerMessage
+) : DispatchMessage
 
 /** Describes a place that a holder uses. */
 @Serializable
@@ -184,4 +188,4 @@
     @SerialName("h") public val holder: InstanceId,
     @SerialName("p") public val pool: PoolId,
     @SerialName("l") public val places: List<HeldPlace>,
-) : PeerMessage
+) : DispatchMessage
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/ConfigurationIntake.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/ConfigurationIntake.kt
@@ -7,6 +7,7 @@
 import org.arbutusnotch.core.message.ConfigurationContent
 import org.arbutusnotch.core.message.ConfigurationFetch
 import org.arbutusnotch.core.message.RevisionMark
+import org.arbutusnotch.telemetry.Clock
 
 /** Offers bytes to the revision table and answers fetches of peers. */
 internal class ConfigurationIntake(
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/SlotOwnerService.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/SlotOwnerService.kt
@@ -14,6 +14,7 @@
 import org.arbutusnotch.core.reservation.ReservationDecision
 import org.arbutusnotch.daemon.telemetry.Counters
 import org.arbutusnotch.daemon.telemetry.ReservationEvent
+import org.arbutusnotch.telemetry.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/PeerMessageHandler.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/PeerMessageHandler.kt
@@ -6,6 +6,7 @@
 import org.arbutusnotch.core.message.Acknowledged
 import org.arbutusnotch.core.message.ConfigurationContent
 import org.arbutusnotch.core.message.ConfigurationFetch
+import org.arbutusnotch.core.message.DispatchMessage
 import org.arbutusnotch.core.message.Gossip
 import org.arbutusnotch.core.message.PeerMessage
 import org.arbutusnotch.core.message.PermitClose
@@ -56,6 +57,8 @@
 
         is StreamReport -> slotOwner.report(message)
 
+        // Dispatch messages pass between forwarding instances only.
+        is DispatchMessage,
         is Acknowledged,
         is ConfigurationContent,
         is PermitReply,
