--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
@@ -30,12 +30,10 @@
 import org.arbutusnotch.daemon.backend.EngineClient
 import org.arbutusnotch.daemon.backend.SUPERVISION_INTERVAL
 import org.arbutusnotch.daemon.backend.ServiceClient
-import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.daemon.control.ConfigurationIntake
 import org.arbutusnotch.daemon.control.ControlEvent
 import org.arbutusnotch.daemon.control.ControlLoop
 import org.arbutusnotch.daemon.control.ControlState
-import org.arbutusnotch.telemetry.MonotonicClock
 import org.arbutusnotch.daemon.control.PendingReservations
 import org.arbutusnotch.daemon.control.SlotOwnerService
 import org.arbutusnotch.daemon.control.TickSystems
@@ -54,10 +52,12 @@
 import org.arbutusnotch.daemon.platform.InstanceListUpdate
 import org.arbutusnotch.daemon.platform.PlatformClient
 import org.arbutusnotch.daemon.telemetry.Counters
-import org.arbutusnotch.telemetry.EventLog
 import org.arbutusnotch.peer.PeerError
 import org.arbutusnotch.peer.PeerTransport
 import org.arbutusnotch.settings.DaemonSettings
+import org.arbutusnotch.telemetry.Clock
+import org.arbutusnotch.telemetry.EventLog
+import org.arbutusnotch.telemetry.MonotonicClock
 import java.net.InetSocketAddress
 import java.util.concurrent.CompletionException
 import kotlin.random.Random
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/DaemonOperatorView.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/DaemonOperatorView.kt
@@ -19,7 +19,6 @@
 import org.arbutusnotch.core.routing.ServiceRequest
 import org.arbutusnotch.core.straggler.ServerView
 import org.arbutusnotch.core.time.Timestamp
-import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.daemon.control.ControlLoop
 import org.arbutusnotch.daemon.control.ControlState
 import org.arbutusnotch.daemon.operator.CandidateStatus
@@ -33,6 +32,7 @@
 import org.arbutusnotch.daemon.telemetry.CounterValue
 import org.arbutusnotch.daemon.telemetry.Counters
 import org.arbutusnotch.daemon.telemetry.QuarantineEvent
+import org.arbutusnotch.telemetry.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/backend/BackendSupervisor.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/backend/BackendSupervisor.kt
@@ -19,13 +19,13 @@
 import org.arbutusnotch.core.reservation.LoadReport
 import org.arbutusnotch.core.routing.RoutingPolicy
 import org.arbutusnotch.core.time.Timestamp
-import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.daemon.control.ControlLoop
 import org.arbutusnotch.daemon.control.ControlState
 import org.arbutusnotch.daemon.control.PendingReservations
 import org.arbutusnotch.daemon.telemetry.Counters
-import org.arbutusnotch.telemetry.EventLog
 import org.arbutusnotch.daemon.telemetry.HeldCancellation
+import org.arbutusnotch.telemetry.Clock
+import org.arbutusnotch.telemetry.EventLog
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryContext.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryContext.kt
@@ -14,11 +14,11 @@
 import org.arbutusnotch.daemon.backend.BackendError
 import org.arbutusnotch.daemon.backend.EngineClient
 import org.arbutusnotch.daemon.backend.ServiceClient
-import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.daemon.control.ControlLoop
 import org.arbutusnotch.daemon.control.ControlState
 import org.arbutusnotch.daemon.telemetry.Counters
 import org.arbutusnotch.daemon.telemetry.QuarantineEvent
+import org.arbutusnotch.telemetry.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PermitGateway.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/PermitGateway.kt
@@ -17,9 +17,9 @@
 import org.arbutusnotch.core.permit.returnOfLatePermit
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.core.token.IdempotencyToken
-import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.daemon.control.ControlLoop
 import org.arbutusnotch.peer.PeerTransport
+import org.arbutusnotch.telemetry.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/ReservationGateway.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/ReservationGateway.kt
@@ -19,10 +19,10 @@
 import org.arbutusnotch.core.message.StreamReport
 import org.arbutusnotch.core.routing.RoutingPolicy
 import org.arbutusnotch.core.time.Timestamp
-import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.daemon.control.ControlLoop
 import org.arbutusnotch.daemon.control.SlotOwnerService
 import org.arbutusnotch.peer.PeerTransport
+import org.arbutusnotch.telemetry.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/GossipExchange.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/GossipExchange.kt
@@ -9,11 +9,11 @@
 import org.arbutusnotch.core.message.Gossip
 import org.arbutusnotch.core.message.QuarantineEntry
 import org.arbutusnotch.core.message.ServerSummary
-import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.daemon.control.ControlEvent
 import org.arbutusnotch.daemon.control.ControlLoop
 import org.arbutusnotch.daemon.control.ControlState
 import org.arbutusnotch.daemon.control.TickSystems
+import org.arbutusnotch.telemetry.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/PeerMessageHandler.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/PeerMessageHandler.kt
@@ -17,11 +17,11 @@
 import org.arbutusnotch.core.message.ReserveRequest
 import org.arbutusnotch.core.message.StreamReport
 import org.arbutusnotch.core.message.StreamReportReply
-import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.daemon.control.ConfigurationIntake
 import org.arbutusnotch.daemon.control.ControlEvent
 import org.arbutusnotch.daemon.control.ControlLoop
 import org.arbutusnotch.daemon.control.SlotOwnerService
+import org.arbutusnotch.telemetry.Clock
 
 /** Dispatches each message to the tables that it concerns. */
 internal class PeerMessageHandler(
