--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
@@ -154,8 +154,6 @@
  * Returns a place, or withdraws a queued request when no server is named.
  *
  * @property elapsedMillis time from the sending of the request to the end of the answer
- * @property firstMillis time from the sending of the request to the first event; 0 when there was none
- * @property events events of the stream
  * @property slowdownPercent time that work takes on the server's machine by its latest answer, 100 as usual; 0 unknown
  */
 @Serializable
@@ -167,8 +165,6 @@
     @SerialName("a") public val part: PlacePart = PlacePart.RUN,
     @SerialName("o") public val outcome: PlaceOutcome = PlaceOutcome.UNUSED,
     @SerialName("e") public val elapsedMillis: Long = 0,
-    @SerialName("i") public val firstMillis: Long = 0,
-    @SerialName("n") public val events: Int = 0,
     @SerialName("l") public val slowdownPercent: Int = 0,
 ) : DispatchMessage
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -68,7 +68,6 @@
 internal data class PlaceUse(
     val outcome: PlaceOutcome,
     val elapsed: Duration = Duration.ZERO,
-    val first: Duration = Duration.ZERO,
     val slowdownPercent: Int = 0,
 )
 
@@ -122,7 +121,6 @@
             part = part,
             outcome = use.outcome,
             elapsedMillis = use.elapsed.inWholeMilliseconds,
-            firstMillis = use.first.inWholeMilliseconds,
             slowdownPercent = use.slowdownPercent,
         )
         send(dispatcherOf(place.pool), release)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -82,14 +82,13 @@
             excluded = excluded.toSet(),
             repeated = repeated,
         )
-        ticket = null
+        var answeredAtOnce = false
         val asked = context.dispatch.ask(question) { answer ->
             ticket = null
-            answered = true
+            answeredAtOnce = true
             onAnswer(answer)
         }
-        if (!answered) ticket = asked
-        answered = false
+        if (!answeredAtOnce) ticket = asked
     }
 
     private fun patience(): Duration = when (val kind = request.route.kind) {
@@ -97,8 +96,6 @@
         RouteKind.IdempotentCall, RouteKind.SingleRunCall -> deadlineAt - receivedAt
     }
 
-    private var answered = false
-
     private fun onAnswer(answer: PlaceAnswer) {
         when (answer) {
             is PlaceAnswer.Granted -> {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -344,7 +344,7 @@
             logAttempt(server.id, "run", outcome.name.lowercase(), result.detail, startedAt)
             if (result is RunEnd.Completed) {
                 val elapsed = context.now() - startedAt
-                val use = PlaceUse(outcome, elapsed, first, facts?.slowdownPercent ?: 0)
+                val use = PlaceUse(outcome, elapsed, facts?.slowdownPercent ?: 0)
                 context.dispatch.release(place, PlacePart.RUN, use)
             }
             onRunEnd(this, result)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/Addresses.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/Addresses.kt
@@ -13,3 +13,11 @@
     require(port != null && ip.isNotEmpty() && ip.all { it.isDigit() || it == '.' }) { "not an address ip:port: $text" }
     return InetSocketAddress(InetAddress.getByName(ip), port)
 }
+
+/** Returns whether [text] is an address of the form `ip:port`. */
+public fun isSocketAddress(text: String): Boolean = try {
+    socketAddress(text)
+    true
+} catch (_: IllegalArgumentException) {
+    false
+}
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
@@ -59,10 +59,6 @@
         report(table.mergeHeartbeats(gossip.heartbeats, now))
     }
 
-    fun markUnreachable(address: InstanceAddress) {
-        report(table.markUnreachable(address))
-    }
-
     fun tick(now: Timestamp) {
         report(table.tick(now))
         if (now < nextGossip) return
