Look for a crash when a stream moves because it fell silent

A completion whose stream moved after silence ran on another engine without a look at the first one. A crash before the first token that shows as silence was never reported, so that a prompt could crash one engine more than allowed. The stream is now stopped first, and a server that refuses the connection is reported. This is a cause found by reading; the failing run of QuarantineFailureTest left no log, and its entry in KNOWN-RED.txt stays until the test has been seen to pass.

--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionRun.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/CompletionRun.kt
@@ -140,7 +140,12 @@
                     Leg.Complete
                 }
 
-                is DecodeOutcome.Moved -> Leg.Failed(outcome.server, error = null, resume = outcome.reason)
+                is DecodeOutcome.Moved -> {
+                    if (outcome.reason == ResumeReason.NO_TOKEN) {
+                        entry.stopSilent(work.digest, outcome.server, decode.attempt)
+                    }
+                    Leg.Failed(outcome.server, error = null, resume = outcome.reason)
+                }
 
                 is DecodeOutcome.Failed -> {
                     entry.reportIfCrashed(work.digest, outcome.server, outcome.error)
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryContext.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/entry/EntryContext.kt
@@ -4,6 +4,7 @@
 package org.arbutusnotch.daemon.entry
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -60,7 +61,19 @@
         if (error !is BackendError.BrokenAfterWrite) return
         val probe = engine.load(server, clock.now() + PROBE_TIMEOUT)
         val answered = probe.fold(success = { true }, failure = { it is BackendError.FailedStatus })
-        if (answered) return
+        if (!answered) reportCrash(digest, server)
+    }
+
+    /**
+     * Stops [attempt] on a [server] that has fallen silent, and reports [digest] when nothing listens there any more.
+     * The request must not run elsewhere before that is known: a crash before the first token shows as silence only.
+     */
+    suspend fun stopSilent(digest: ContentDigest, server: BackendServerId, attempt: AttemptId) {
+        val error = engine.cancel(server, attempt, clock.now() + PROBE_TIMEOUT).getError()
+        if (error is BackendError.NotConnected || error is BackendError.BrokenAfterWrite) reportCrash(digest, server)
+    }
+
+    private suspend fun reportCrash(digest: ContentDigest, server: BackendServerId) {
         loop.run { quarantine.report(digest, server, clock.now()) }
         counters.quarantine(QuarantineEvent.CRASH_RECORDED)
     }
