Read prompts beside runs on decode servers, and replace lost prefill servers

A decode server took one prompt of its own at a time, but the place counted as reading until the whole run had ended. Ruled out: memory of the decode servers (not a quarter of it in use) and trouble with the store (before it began).

Changes: a run counts as reading for the time that its prompt needs; a request that has waited that long for a prefill server is read by a decode server with room; a decode server is ordered to read prompts when far too few servers do, or none; a server that changes its stage gets no work until its entry shows the change.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -16,11 +16,15 @@
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
 
-/** A place that a request would take. */
+/**
+ * A place that a request would take.
+ *
+ * @property readingTime time that the server of a run needs to read the prompt; null when another one reads it
+ */
 internal data class PlannedPlace(
     val ledger: ServerLedger,
     val tokens: Int = 0,
-    val readsPrompt: Boolean = false,
+    val readingTime: Duration? = null,
     val tokensAhead: Int = 0,
 )
 
@@ -47,8 +51,8 @@
     /** Returns the time after which the pool as a whole has room for one more request like [entry] while it is full. */
     abstract fun timePerRequest(entry: WaitingRequest): Duration
 
-    /** Returns a server that should generate instead of reading prompts, or null. */
-    open fun surplusPrefillServer(demand: DemandAverage, now: Timestamp): ServerLedger? = null
+    /** Returns a server that should change its stage, or null. */
+    open fun stageChange(demand: DemandAverage): StageChange? = null
 
     /** Returns the time that the run is expected to take after its first event. */
     open fun runTime(entry: WaitingRequest): Duration = Duration.ZERO
@@ -158,17 +162,33 @@
         val prefill = ledgers.values
             .filter { it.server.stage == ServerStage.PREFILL && mayTake(it, entry, now) && mayRead(it, now) }
             .minByOrNull { readingTime(it, work, now) }
-        val whole = decode.filter { it.server.stage == ServerStage.WHOLE }
         return if (prefill != null && !work.direct) {
             val run = decode.minByOrNull { load(it, entry, now) } ?: return null
             withPrefill(run, prefill, work)
         } else {
-            val direct = whole.ifEmpty { decode.takeIf { work.direct || noPrefillServer(entry, now) }.orEmpty() }
-            direct.filter { it.ownPrompts < DIRECT_PROMPTS }.minByOrNull { load(it, entry, now) }
-                ?.let { PlacedRequest(PlannedPlace(it, tokens = memory(work), readsPrompt = true)) }
+            direct(decode, entry, work, now)
         }
     }
 
+    /**
+     * Places a run on a server that reads the prompt itself. Decode servers do so when no prefill server is left, and
+     * for requests that have waited for one for as long as a decode server needs to read their prompt.
+     */
+    private fun direct(
+        decode: List<ServerLedger>,
+        entry: WaitingRequest,
+        work: DispatchWork.Generation,
+        now: Timestamp,
+    ): PlacedRequest? {
+        val overdue = now - entry.waitingSince >= directTime(entry)
+        val mayUseDecode = work.direct || overdue || noPrefillServer(entry, now)
+        return decode.filter { it.server.stage == ServerStage.WHOLE }
+            .ifEmpty { decode.takeIf { mayUseDecode }.orEmpty() }
+            .filter { it.ownPrompts(now) < DIRECT_PROMPTS }
+            .minByOrNull { load(it, entry, now) }
+            ?.let { PlacedRequest(PlannedPlace(it, tokens = memory(work), readingTime = directTime(entry))) }
+    }
+
     private fun withPrefill(run: ServerLedger, prefill: ServerLedger, work: DispatchWork.Generation) = PlacedRequest(
         run = PlannedPlace(run, tokens = memory(work)),
         prefill = PlannedPlace(prefill, tokens = work.promptTokens, tokensAhead = prefill.promptTokensAhead),
@@ -183,7 +203,7 @@
 
     private fun hasRoom(ledger: ServerLedger, work: DispatchWork.Generation, now: Timestamp): Boolean {
         val used = ledger.usedTokens
-        return now >= ledger.fullUntil && ledger.places.size < engine.slots &&
+        return now >= maxOf(ledger.fullUntil, ledger.switchingUntil) && ledger.places.size < engine.slots &&
             (used == 0 || used + memory(work) <= engine.memoryTokens * USABLE_MEMORY)
     }
 
@@ -209,8 +229,9 @@
     }
 
     private fun observeRun(place: UsedPlace, release: DispatchRelease, now: Timestamp) {
-        if (place.readsPrompt || place.outputTokens == 0) return
-        val elapsed = release.elapsedMillis.milliseconds
+        if (place.outputTokens == 0) return
+        val reading = place.readingUntil?.let { it - place.grantedAt } ?: Duration.ZERO
+        val elapsed = (release.elapsedMillis.milliseconds - reading).coerceAtLeast(Duration.ZERO)
         outputSpeed.observe(units = place.outputTokens.toDouble(), elapsed = elapsed, count = 1, now = now)
     }
 
@@ -219,37 +240,51 @@
         return (outputSpeed.perUnit ?: Duration.ZERO) * work.outputTokens
     }
 
-    override fun firstTime(entry: WaitingRequest, now: Timestamp): Duration = promptTime(entry)
+    override fun firstTime(entry: WaitingRequest, now: Timestamp): Duration =
+        if (hasPrefillServer()) promptTime(entry) else directTime(entry)
 
     /** A caller that leaves before the end of its stream has got nothing, so the whole run must fit. */
     override fun leastTime(entry: WaitingRequest, now: Timestamp): Duration =
-        promptTime(entry) + runTime(entry) * LEAST_RUN
+        firstTime(entry, now) + runTime(entry) * LEAST_RUN
 
-    override fun usualTime(entry: WaitingRequest, now: Timestamp): Duration = promptTime(entry) + FIRST_EVENT
+    override fun usualTime(entry: WaitingRequest, now: Timestamp): Duration = firstTime(entry, now) + FIRST_EVENT
 
     /** Either the memory of the decode servers or the prefill servers are the limit. */
     override fun timePerRequest(entry: WaitingRequest): Duration {
         val work = entry.work as? DispatchWork.Generation ?: return Duration.ZERO
         val (prefill, decode) = ledgers.values.partition { it.server.stage == ServerStage.PREFILL }
-        val reading = if (prefill.isEmpty()) Duration.ZERO else promptTime(entry) / prefill.size
+        val reading = when {
+            prefill.isNotEmpty() -> promptTime(entry) / prefill.size
+            decode.isNotEmpty() -> directTime(entry) / decode.size
+            else -> Duration.ZERO
+        }
         val held = if (decode.isEmpty()) 0.0 else memory(work).toDouble() / (engine.memoryTokens * decode.size)
         return maxOf(reading, runTime(entry) * held)
     }
 
-    override fun surplusPrefillServer(demand: DemandAverage, now: Timestamp): ServerLedger? {
+    override fun stageChange(demand: DemandAverage): StageChange? {
         val perOutput = outputSpeed.perUnit ?: return null
         if (outputSpeed.samples < MINIMUM_RUNS || demand.samples < MINIMUM_RUNS) return null
         val (prefill, decode) = ledgers.values.partition { it.server.stage == ServerStage.PREFILL }
         val held = (demand.promptTokens + demand.outputTokens * AVERAGE_OUTPUT) / engine.memoryTokens
-        val surplus = StagePlan.hasSurplusPrefill(
+        val stage = StagePlan.change(
             prefill = prefill.size,
             decode = decode.size,
             readingTime = usualToken() * (demand.promptTokens + OVERHEAD_TOKENS),
             holdingTime = perOutput * demand.outputTokens * held,
-        )
-        return if (surplus) prefill.minByOrNull { it.promptTokensAhead } else null
+        ) ?: return null
+        val changing = when (stage) {
+            ServerStage.PREFILL -> decode.filter { it.server.stage == ServerStage.DECODE }.minByOrNull { it.usedTokens }
+            ServerStage.DECODE -> prefill.minByOrNull { it.promptTokensAhead }
+            ServerStage.WHOLE -> null
+        }
+        return changing?.let { StageChange(it.server, stage) }
     }
 
+    private fun hasPrefillServer(): Boolean = ledgers.values.any { it.server.stage == ServerStage.PREFILL }
+
+    private fun directTime(entry: WaitingRequest): Duration = promptTime(entry) * DIRECT_READING
+
     private fun promptTime(entry: WaitingRequest): Duration {
         val work = entry.work as? DispatchWork.Generation ?: return Duration.ZERO
         return usualToken() * (work.promptTokens + OVERHEAD_TOKENS)
@@ -267,6 +302,12 @@
         /** Share of an engine's memory that is given out; the rest absorbs outputs that are longer than expected. */
         const val USABLE_MEMORY = 0.95
 
+        /**
+         * Time to read a prompt on a decode server, in times of a prefill server: it reads at half the speed, in short
+         * pieces between the tokens of its other requests.
+         */
+        const val DIRECT_READING = 3.0
+
         /** Part of the output that a run holds on average, with a margin for outputs that are longer than expected. */
         const val AVERAGE_OUTPUT = 0.7
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -66,6 +66,7 @@
             if (known == null || known.server.startedAt != server.startedAt) {
                 ledgers[server.id] = ServerLedger(server)
             } else {
+                if (known.server.stage != server.stage) known.switchingUntil = Timestamp(0)
                 known.server = server
             }
         }
@@ -139,7 +140,7 @@
             holder = holder,
             tokens = held.tokens,
             outputTokens = 0,
-            readsPrompt = false,
+            readingUntil = null,
             tokensAhead = 0,
             grantedAt = now,
             expiresAt = now + PLACE_LIFETIME,
@@ -147,18 +148,17 @@
     }
 
     /**
-     * Returns a prefill server that should be ordered to generate, or null. The order is taken as sent: the server gets
-     * no work while it changes, and is not returned again for a while.
+     * Returns a server that should be ordered to change its stage, or null. The order is taken as sent: the server gets
+     * no work while it changes, and no other one is returned meanwhile.
      *
-     * @param switchTime time that a server needs for the change
+     * @param switchTime time that a server needs for the change once its work has ended
      */
-    public fun takeStageChange(switchTime: Duration, now: Timestamp): BackendServer? {
+    public fun takeStageChange(switchTime: Duration, now: Timestamp): StageChange? {
         if (now < nextStageChange) return null
-        val ledger = selection.surplusPrefillServer(demand, now) ?: return null
-        if (now < ledger.switchingUntil + STAGE_CHANGE_PAUSE) return null
+        val change = selection.stageChange(demand) ?: return null
         nextStageChange = now + switchTime + STAGE_CHANGE_PAUSE
-        ledger.switchingUntil = now + switchTime
-        return ledger.server
+        ledgers[change.server.id]?.switchingUntil = nextStageChange
+        return change
     }
 
     /** Frees places and drops requests whose holders fell silent, refuses what is hopeless, and grants what fits. */
@@ -237,7 +237,7 @@
             holder = entry.holder,
             tokens = place.tokens,
             outputTokens = (entry.work as? DispatchWork.Generation)?.outputTokens ?: 0,
-            readsPrompt = place.readsPrompt,
+            readingUntil = place.readingTime?.let { now + it },
             tokensAhead = place.tokensAhead,
             grantedAt = now,
             expiresAt = now + PLACE_LIFETIME,
@@ -262,7 +262,7 @@
         /** Time that a grant may need to its holder and the holder's next report back. */
         val GRANT_TRANSIT = 700.milliseconds
 
-        /** Time after a change of a server's stage in which its new entry arrives everywhere. */
+        /** Time beside that of a change in which the server's work ends and its new entry arrives everywhere. */
         val STAGE_CHANGE_PAUSE = 4.seconds
 
         /** Time without new work for a server that rejected a request, since it has less room than is known here. */
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerLedger.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerLedger.kt
@@ -19,14 +19,14 @@
  *
  * @property tokens memory that the place takes, or prompt tokens to read for [PlacePart.PREFILL]
  * @property outputTokens tokens that the request is expected to generate
- * @property readsPrompt whether the server also reads the prompt
+ * @property readingUntil time until which the server probably reads the prompt itself; null when another one reads it
  * @property expiresAt time at which the place is free unless its holder reports it again
  */
 internal class UsedPlace(
     val holder: InstanceId,
     val tokens: Int,
     val outputTokens: Int,
-    val readsPrompt: Boolean,
+    val readingUntil: Timestamp?,
     val tokensAhead: Int,
     val grantedAt: Timestamp,
     var expiresAt: Timestamp,
@@ -47,8 +47,8 @@
     val promptTokensAhead: Int
         get() = places.entries.sumOf { if (it.key.part == PlacePart.PREFILL) it.value.tokens else 0 }
 
-    val ownPrompts: Int
-        get() = places.values.count { it.readsPrompt }
+    /** Returns the number of prompts that the server itself reads at [now] beside generating. */
+    fun ownPrompts(now: Timestamp): Int = places.values.count { it.readingUntil != null && it.readingUntil > now }
 
     fun noteSlowdown(percent: Int, now: Timestamp) {
         if (percent <= 0) return
@@ -62,7 +62,7 @@
     /** Returns the expected time of one unit of work at [now], or of [usual] where nothing was observed. */
     fun timePerUnit(usual: Duration, now: Timestamp): Duration = (speed.perUnit ?: usual) * slowdown(now)
 
-    /** Time until which the server changes its stage and takes no work. */
+    /** Time until which the server is expected to change its stage; it takes no work before its entry shows that. */
     var switchingUntil: Timestamp = Timestamp(0)
 
     /** Time until which the server gets no new runs, because it rejected one. */
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/StagePlan.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/StagePlan.kt
@@ -6,6 +6,8 @@
  */
 package org.arbutusnotch.core.dispatch
 
+import org.arbutusnotch.core.forwarding.BackendServer
+import org.arbutusnotch.core.forwarding.ServerStage
 import kotlin.math.roundToInt
 import kotlin.time.Duration
 
@@ -30,20 +32,31 @@
     }
 }
 
+/** Names a server of a pool and the stage that it should change to. */
+public data class StageChange(public val server: BackendServer, public val stage: ServerStage)
+
 internal object StagePlan {
     /** Prefill servers beyond the balance; crests of prompts are shorter than those of memory. */
     private const val PREFILL_HEADROOM = 1.3
 
+    /** Share of the balance below which prefill servers are missing; far from the headroom, against orders to and fro. */
+    private const val PREFILL_SHORTAGE = 0.6
+
     /**
-     * Returns whether one of [prefill] servers should become a decode server beside [decode] others.
+     * Returns the stage to which a server should change beside [prefill] and [decode] servers, or null.
      *
      * @param readingTime time of one prefill server for one request
      * @param holdingTime time of one decode server for one request, with as many at once as its memory holds
      */
-    fun hasSurplusPrefill(prefill: Int, decode: Int, readingTime: Duration, holdingTime: Duration): Boolean {
-        if (prefill <= 1 || holdingTime <= Duration.ZERO) return false
-        val share = readingTime / (readingTime + holdingTime)
-        val wanted = (share * (prefill + decode) * PREFILL_HEADROOM).roundToInt().coerceAtLeast(1)
-        return prefill > wanted
+    fun change(prefill: Int, decode: Int, readingTime: Duration, holdingTime: Duration): ServerStage? {
+        if (holdingTime <= Duration.ZERO) return null
+        val balance = readingTime / (readingTime + holdingTime) * (prefill + decode)
+        val most = (balance * PREFILL_HEADROOM).roundToInt().coerceAtLeast(1)
+        val least = (balance * PREFILL_SHORTAGE).roundToInt().coerceAtLeast(1)
+        return when {
+            prefill > most -> ServerStage.DECODE
+            prefill < least && decode > 1 -> ServerStage.PREFILL
+            else -> null
+        }
     }
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/WaitingRequest.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/WaitingRequest.kt
@@ -20,6 +20,7 @@
  * @property objectiveAt time after which the answer is late
  * @property beginBy time by which the request must have a place; it is refused when it cannot get one
  * @property deadlineAt time at which the caller gives up
+ * @property waitingSince time at which the request arrived here
  * @property heardUntil time at which the request is dropped unless its holder repeats it
  */
 internal data class WaitingRequest(
@@ -32,6 +33,7 @@
     val beginBy: Timestamp,
     val deadlineAt: Timestamp,
     val excluded: Set<BackendServerId>,
+    val waitingSince: Timestamp,
     val heardUntil: Timestamp,
 ) {
     companion object {
@@ -48,6 +50,7 @@
             beginBy = Timestamp(now.epochMillis + request.beginMillis),
             deadlineAt = Timestamp(now.epochMillis + request.remainingMillis),
             excluded = request.excluded.toSet(),
+            waitingSince = now,
             heardUntil = now + HOLDER_SILENCE,
         )
     }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
@@ -126,6 +126,35 @@
         expectThat(second.server).isEqualTo(BackendServerId("d"))
     }
 
+    /**
+     * Guards against a pool that has lost its prefill servers and serves one run at a time on each server, because a
+     * run counts as reading until its stream has ended (cmn-dakar trouble-1: 2 of 14 requests a second were served).
+     */
+    @Test
+    fun `decode server reads the next prompt while earlier ones generate`() {
+        val fixture = DispatchFixture(listOf(server("d", ServerStage.DECODE, 16)), EngineProfile(16, 38_000))
+        val granted = (1..8).flatMap {
+            fixture.pass(400.milliseconds)
+            fixture.generate().granted()
+        }
+        expectThat(granted).hasSize(8)
+        fixture.pass(400.milliseconds)
+        expectThat((1..2).flatMap { fixture.generate() }.granted()).hasSize(1)
+    }
+
+    /** Guards against a crest of prompts at one prefill server while decode servers have room to read some of them. */
+    @Test
+    fun `decode server reads a prompt that has waited long for a prefill server`() {
+        val fixture = DispatchFixture(
+            listOf(server("p", ServerStage.PREFILL, 16), server("d", ServerStage.DECODE, 16)),
+            EngineProfile(slots = 16, memoryTokens = 38_000),
+        )
+        expectThat((1..3).flatMap { fixture.generate() }.granted()).hasSize(2)
+        fixture.pass(400.milliseconds)
+        val overflow = fixture.dispatcher.tick(fixture.now).granted().single()
+        expectThat(overflow.prefillServer).isNull()
+    }
+
     /** Guards against streams that begin although their caller leaves before they end. */
     @Test
     fun `run that cannot end in time is refused`() {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -12,7 +12,7 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
-import org.arbutusnotch.core.forwarding.BackendServer
+import org.arbutusnotch.core.dispatch.StageChange
 import org.arbutusnotch.core.forwarding.CallerLimits
 import org.arbutusnotch.core.forwarding.RouteTable
 import org.arbutusnotch.core.forwarding.ServerRegistry
@@ -103,7 +103,7 @@
         definition = { published.routes?.pools?.get(it) },
         newBudget = { RetryBudget(requestsPerRetry(), (settings.retryAllowance * DISPATCHER_SHARE).toInt()) },
         mayOrder = { pool, now -> tenure.mayOrder(pool, now) },
-        order = { orderDecodeStage(it) },
+        order = { orderStage(it) },
         reply = { target, reply -> deliver(target, reply) },
     )
     private val dispatchClient = DispatchClient(
@@ -316,11 +316,14 @@
         },
     )
 
-    private fun orderDecodeStage(server: BackendServer) {
-        val order = protocols.forwarding.decodeStageOrder(server.id, self.address.value, clock.now().epochMillis)
+    private fun orderStage(change: StageChange) {
+        val server = change.server
+        val fence = clock.now().epochMillis
+        val order = protocols.forwarding.stageOrder(server.id, change.stage, self.address.value, fence)
         log.info("stage_ordered") {
             field("server", server.id)
             field("pool", server.pool)
+            field("stage", change.stage)
         }
         SingleCall(order, ORDER_TIME, ORDER_TIME) { result ->
             log.info("stage_order_ended") {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -5,6 +5,7 @@
 
 import org.arbutusnotch.core.dispatch.DispatchDecision
 import org.arbutusnotch.core.dispatch.PoolDispatcher
+import org.arbutusnotch.core.dispatch.StageChange
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.PoolDefinition
 import org.arbutusnotch.core.id.InstanceAddress
@@ -24,7 +25,7 @@
  * @param definition returns what the configuration says of a pool
  * @param newBudget creates the retry budget of a pool
  * @param mayOrder returns whether this instance alone may order servers of a pool
- * @param order orders a server to become a decode server
+ * @param order orders a server to change its stage
  * @param reply sends a reply to the instance at an address
  */
 internal class DispatchService(
@@ -32,7 +33,7 @@
     private val definition: (PoolId) -> PoolDefinition?,
     private val newBudget: () -> RetryBudget,
     private val mayOrder: (PoolId, Timestamp) -> Boolean,
-    private val order: (BackendServer) -> Unit,
+    private val order: (StageChange) -> Unit,
     private val reply: (InstanceAddress, DispatchReply) -> Unit,
 ) {
     private val log = EventLog("dispatch")
