Give up a listing of the store after one second

The test failed first: 2.8 s until the items were listed, less than 2 s are asked for. A slow store needs a quarter of a second.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/StagePlan.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/StagePlan.kt
@@ -39,7 +39,7 @@
     /** Prefill servers beyond the balance; crests of prompts are shorter than those of memory. */
     private const val PREFILL_HEADROOM = 1.3
 
-    /** Share of the balance below which prefill servers are missing; far from the headroom, against orders to and fro. */
+    /** Share of the balance below which prefill servers are missing; far below the headroom, against flapping. */
     private const val PREFILL_SHORTAGE = 0.6
 
     /**
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -192,7 +192,9 @@
         const val OK = 200
         const val GONE = 410
         val CONNECT_TIME = 700.milliseconds
-        val LIST_TIME = 3.seconds
+
+        /** Time for a listing: that of a slow store many times over. Without one an instance cannot serve. */
+        val LIST_TIME = 1.seconds
 
         /** Time for which one call waits for changes; each call is paid for. */
         val WATCH_TIME = 20.seconds
