--- a/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/Main.kt
+++ b/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/Main.kt
@@ -60,6 +60,7 @@
             DrainCommand(),
             QuarantineCommand.withSubcommands(),
             CountersCommand(),
+            TraceCommand(),
         )
     }
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
@@ -6,7 +6,6 @@
  */
 package org.arbutusnotch.forwarding
 
-import kotlin.time.Duration
 import org.arbutusnotch.core.forwarding.ServerStage
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.FailureDomainId
@@ -14,6 +13,7 @@
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
 import org.arbutusnotch.forwarding.http.RequestHead
 import org.arbutusnotch.forwarding.http.ResponseHead
+import kotlin.time.Duration
 
 /**
  * Holds what a caller says about its request.
@@ -92,12 +92,7 @@
      * @param holder name of the instance that gives the order
      * @param fence number that is higher than that of every earlier order
      */
-    public fun stageOrder(
-        server: BackendServerId,
-        stage: ServerStage,
-        holder: String,
-        fence: Long,
-    ): HttpRequestMessage
+    public fun stageOrder(server: BackendServerId, stage: ServerStage, holder: String, fence: Long): HttpRequestMessage
 
     /** Returns the request that frees the memory of [handle] at the server that holds it. */
     public fun freeHandle(server: BackendServerId, handle: String): HttpRequestMessage
