Bound what is kept of one answer in memory

Calls, and answers of engines that are no stream, were collected without a limit: one server that never ends its answer could take an instance down. Such an answer now counts as broken after 8 MiB. The test failed first.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -144,13 +144,18 @@
         override fun onPart(content: ByteBuf) {
             content.readBytes(body, content.readableBytes())
             content.release()
+            if (body.size() <= MAXIMUM_COLLECTED_BYTES || over) return
+            call?.cancel()
+            end(AttemptResult.Unknown("answer is larger than $MAXIMUM_COLLECTED_BYTES bytes"))
         }
 
         override fun onEnd(end: CallEnd) {
-            if (over) return
+            if (!over) end(resultOf(end))
+        }
+
+        private fun end(result: AttemptResult) {
             over = true
             cancelSilence()
-            val result = resultOf(end)
             report(result.outcome)
             logAttempt(place.server.id, "call", result.outcome.name.lowercase(), result.detail, startedAt)
             onAttemptEnd(this, result)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -217,6 +217,12 @@
         const val BAD_GATEWAY: Int = 502
         const val GATEWAY_TIMEOUT: Int = 504
 
+        /**
+         * Bytes of one answer that are kept in memory before it is passed on: twice what callers may send, and a sixth
+         * of the memory of a small instance.
+         */
+        const val MAXIMUM_COLLECTED_BYTES: Int = 8 * 1_024 * 1_024
+
         /** Time to connect to a backend server: many round trips, and less than a repeated opening packet takes. */
         val CONNECT_TIME: Duration = 400.milliseconds
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -305,8 +305,7 @@
         override fun onPart(content: ByteBuf) {
             val received = head
             if (!streams || received == null) {
-                content.readBytes(body, content.readableBytes())
-                content.release()
+                collect(content)
                 return
             }
             if (first == Duration.ZERO) first = context.now() - startedAt
@@ -315,6 +314,14 @@
             if (!responder.isWritable) call?.setReading(false)
         }
 
+        private fun collect(content: ByteBuf) {
+            content.readBytes(body, content.readableBytes())
+            content.release()
+            if (body.size() <= MAXIMUM_COLLECTED_BYTES || over) return
+            call?.cancel()
+            end(RunEnd.Broken("answer is larger than $MAXIMUM_COLLECTED_BYTES bytes"))
+        }
+
         private fun begin(received: ResponseHead) {
             begun = true
             responder.onWritable = { call?.setReading(true) }
@@ -323,24 +330,13 @@
         }
 
         override fun onEnd(end: CallEnd) {
-            if (over) return
+            if (!over) end(resultOf(end))
+        }
+
+        private fun end(result: RunEnd) {
             over = true
             cancelSilence()
-            val result = resultOf(end)
-            val outcome = when (result) {
-                is RunEnd.Completed ->
-                    if (result.head.status in
-                        AnswerVerdict.SUCCESS
-                    ) {
-                        PlaceOutcome.COMPLETED
-                    } else {
-                        PlaceOutcome.SERVER_FAILED
-                    }
-
-                is RunEnd.NotRun -> result.outcome
-
-                is RunEnd.Broken -> PlaceOutcome.BROKEN
-            }
+            val outcome = outcomeOf(result)
             logAttempt(server.id, "run", outcome.name.lowercase(), result.detail, startedAt)
             if (result is RunEnd.Completed) {
                 val elapsed = context.now() - startedAt
@@ -350,6 +346,15 @@
             onRunEnd(this, result)
         }
 
+        private fun outcomeOf(result: RunEnd): PlaceOutcome = when (result) {
+            is RunEnd.Completed ->
+                if (result.head.status in AnswerVerdict.SUCCESS) PlaceOutcome.COMPLETED else PlaceOutcome.SERVER_FAILED
+
+            is RunEnd.NotRun -> result.outcome
+
+            is RunEnd.Broken -> PlaceOutcome.BROKEN
+        }
+
         private fun resultOf(end: CallEnd): RunEnd = when (end) {
             is CallEnd.NotSent -> notRun(PlaceOutcome.UNREACHABLE, end.detail, received = false)
 
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerFaultTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerFaultTest.kt
@@ -76,6 +76,14 @@
         close()
     }
 
+    /** Guards against one answer that takes the memory of all other requests of the instance. */
+    @Test
+    fun `body without an end`() = expectRepeatedOnlyIfIdempotent {
+        streamHead()
+        val part = "x".repeat(100_000)
+        while (true) chunk(part)
+    }
+
     /** Guards against a body without a length that is taken for whole after a reset. */
     @Test
     fun `body without length and a reset`() = expectRepeatedOnlyIfIdempotent {
