Order stage changes of servers that answer, and another one when an order is not sent

Both tests failed first: there was no way to take an order back, and an unreachable server was chosen. An order without an answer may have been accepted and still counts as sent.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -274,8 +274,11 @@
             holdingTime = perOutput * demand.outputTokens * held,
         ) ?: return null
         val changing = when (stage) {
-            ServerStage.PREFILL -> decode.filter { it.server.stage == ServerStage.DECODE }.minByOrNull { it.usedTokens }
-            ServerStage.DECODE -> prefill.minByOrNull { it.promptTokensAhead }
+            ServerStage.PREFILL -> decode.filter { it.server.stage == ServerStage.DECODE && it.health.isReachable }
+                .minByOrNull { it.usedTokens }
+
+            ServerStage.DECODE -> prefill.filter { it.health.isReachable }.minByOrNull { it.promptTokensAhead }
+
             ServerStage.WHOLE -> null
         }
         return changing?.let { StageChange(it.server, stage) }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -161,6 +161,14 @@
         return change
     }
 
+    /** Takes back [change], whose order did not reach its server; another one may be ordered at once. */
+    public fun stageChangeNotSent(change: StageChange, now: Timestamp) {
+        nextStageChange = now
+        val ledger = ledgers[change.server.id] ?: return
+        ledger.switchingUntil = now
+        ledger.health.record(PlaceOutcome.UNREACHABLE, ledger.server.failureDomain, now)
+    }
+
     /** Frees places and drops requests whose holders fell silent, refuses what is hopeless, and grants what fits. */
     public fun tick(now: Timestamp): List<DispatchDecision> {
         ledgers.values.forEach { ledger -> ledger.places.values.removeIf { it.expiresAt <= now } }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
@@ -29,6 +29,10 @@
 internal class ServerHealth {
     private var faults = 0
     private var pausedUntil = Timestamp(0)
+
+    /** Whether the server has answered since it was last found unreachable or silent. */
+    val isReachable: Boolean
+        get() = faults == 0
     private val failureShares = HashMap<FailureDomainId, FailureShare>()
 
     fun record(outcome: PlaceOutcome, callerDomain: FailureDomainId, now: Timestamp) {
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/StagePlanTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/StagePlanTest.kt
@@ -8,6 +8,7 @@
 import org.arbutusnotch.core.forwarding.ServerStage
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.message.HeldPlaces
+import org.arbutusnotch.core.message.PlaceOutcome
 import org.arbutusnotch.core.message.PlacePart
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -128,4 +129,30 @@
         val request = fixture.request(DispatchWork.Generation(3_000, 300), remaining = 14.seconds)
         expectThat(fixture.submit(request).granted().single().server).isEqualTo(changed.id)
     }
+
+    /**
+     * Guards against a pool that waits for a change of a server that has crashed (belfry-ops scale-2: ten seconds of a
+     * crest with a surplus prefill server).
+     */
+    @Test
+    fun `next server is ordered when an order could not be sent`() {
+        val fixture = fixture()
+        fixture.run(20)
+        val crashed = fixture.dispatcher.takeStageChange(6.seconds, fixture.now)!!
+        fixture.dispatcher.stageChangeNotSent(crashed, fixture.now)
+        val next = fixture.dispatcher.takeStageChange(6.seconds, fixture.now)
+        expectThat(next).isNotNull().get { server.id }.isNotEqualTo(crashed.server.id)
+    }
+
+    /** Guards against orders to servers that are known not to answer. */
+    @Test
+    fun `unreachable server is not ordered`() {
+        val fixture = fixture()
+        fixture.run(20)
+        val request = fixture.request(DispatchWork.Generation(3_000, 300), remaining = 14.seconds)
+        val granted = fixture.submit(request).granted().single()
+        fixture.release(granted, PlacePart.PREFILL, PlaceOutcome.UNREACHABLE)
+        val ordered = fixture.dispatcher.takeStageChange(6.seconds, fixture.now)
+        expectThat(ordered).isNotNull().get { server.id }.isNotEqualTo(granted.prefillServer)
+    }
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -7,6 +7,7 @@
 package org.arbutusnotch.forwarding
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.netty.channel.EventLoopGroup
@@ -41,6 +42,7 @@
 import org.arbutusnotch.forwarding.exchange.ForwardingContext
 import org.arbutusnotch.forwarding.exchange.ForwardingCounters
 import org.arbutusnotch.forwarding.exchange.FrontHandler
+import org.arbutusnotch.forwarding.http.CallEnd
 import org.arbutusnotch.forwarding.http.HeaderField
 import org.arbutusnotch.forwarding.http.HttpEndpoint
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
@@ -103,7 +105,7 @@
         definition = { published.routes?.pools?.get(it) },
         newBudget = { RetryBudget(requestsPerRetry(), (settings.retryAllowance * DISPATCHER_SHARE).toInt()) },
         mayOrder = { pool, now -> tenure.mayOrder(pool, now) },
-        order = { orderStage(it) },
+        order = { change, onNotSent -> orderStage(change, onNotSent) },
         reply = { target, reply -> deliver(target, reply) },
     )
     private val dispatchClient = DispatchClient(
@@ -316,7 +318,7 @@
         },
     )
 
-    private fun orderStage(change: StageChange) {
+    private fun orderStage(change: StageChange, onNotSent: () -> Unit) {
         val server = change.server
         val fence = clock.now().epochMillis
         val order = protocols.forwarding.stageOrder(server.id, change.stage, self.address.value, fence)
@@ -330,6 +332,8 @@
                 field("server", server.id)
                 field("result", result.fold(success = { "status ${it.head.status}" }, failure = { it.toString() }))
             }
+            // Without an answer the order may have been accepted.
+            if (result.getError() is CallEnd.NotSent) onNotSent()
         }.start(socketAddress(server.address), group)
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -25,7 +25,7 @@
  * @param definition returns what the configuration says of a pool
  * @param newBudget creates the retry budget of a pool
  * @param mayOrder returns whether this instance alone may order servers of a pool
- * @param order orders a server to change its stage
+ * @param order orders a server to change its stage, and calls its second argument if the order cannot be sent
  * @param reply sends a reply to the instance at an address
  */
 internal class DispatchService(
@@ -33,7 +33,7 @@
     private val definition: (PoolId) -> PoolDefinition?,
     private val newBudget: () -> RetryBudget,
     private val mayOrder: (PoolId, Timestamp) -> Boolean,
-    private val order: (StageChange) -> Unit,
+    private val order: (StageChange, () -> Unit) -> Unit,
     private val reply: (InstanceAddress, DispatchReply) -> Unit,
 ) {
     private val log = EventLog("dispatch")
@@ -73,7 +73,9 @@
 
     private fun changeStages(pool: PoolId, dispatcher: PoolDispatcher, now: Timestamp) {
         val switchTime = definition(pool)?.engine?.stageSwitchTime ?: return
-        if (mayOrder(pool, now)) dispatcher.takeStageChange(switchTime, now)?.let { order(it) }
+        if (!mayOrder(pool, now)) return
+        val change = dispatcher.takeStageChange(switchTime, now) ?: return
+        order(change) { dispatcher.stageChangeNotSent(change, now) }
     }
 
     private fun dispatcher(pool: PoolId, now: Timestamp): PoolDispatcher = dispatchers.getOrPut(pool) {
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchServiceTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchServiceTest.kt
@@ -45,7 +45,7 @@
             definition = { null },
             newBudget = { RetryBudget() },
             mayOrder = { _, _ -> false },
-            order = {},
+            order = { _, _ -> },
             reply = { _, reply ->
                 replies += reply
                 val refused = reply is DispatchReply.Refused && reply.ticket.value == "waits"
