Revert "Ask refused callers to come back after the overload"

Most refusals come at once, and a caller that returns within a second can still be served on time; one that returns after the overload gets a late answer at best. Ruled out: load of the machine, which was the same.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -25,7 +25,6 @@
 import org.arbutusnotch.core.retry.RetryBudget
 import org.arbutusnotch.core.straggler.SpeedEstimate
 import org.arbutusnotch.core.time.Timestamp
-import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -38,9 +37,6 @@
     private val demand = DemandAverage()
     private var nextStageChange = Timestamp(0)
 
-    /** Time since which requests are refused because too many wait; null while all are served. */
-    private var overloadedSince: Timestamp? = null
-
     /** Time of the latest report of places in use. */
     private var reportedAt = Timestamp(0)
 
@@ -88,8 +84,7 @@
         val entry = WaitingRequest.of(request, now)
         if (isUninformed(now)) informedAt = now + REPORTS_TIME
         val refusal = refusalOf(request, entry, now)
-        if (refusal != null) return listOf(entry.refused(refusal, now))
-        if (waiting.isEmpty()) overloadedSince = null
+        if (refusal != null) return listOf(entry.refused(refusal))
         waiting[request.ticket] = entry
         val decisions = pump(now)
         if (request.ticket !in waiting) return decisions
@@ -205,7 +200,7 @@
         val hopeless = waiting.values.filter { isHopeless(it, ahead = 0, now) }
         hopeless.forEach {
             waiting.remove(it.ticket)
-            decisions += it.refused(DispatchRefusal.OVERLOADED, now)
+            decisions += it.refused(DispatchRefusal.OVERLOADED)
         }
         for (entry in inOrder(now)) {
             val granted = place(entry, now) ?: break
@@ -257,22 +252,11 @@
         )
     }
 
-    /**
-     * Refuses a request. An overload is expected to last for as long again as it has lasted, so that callers come back
-     * when there is room; they come back apart from one another.
-     */
-    private fun WaitingRequest.refused(reason: DispatchRefusal, now: Timestamp): DispatchDecision.Refused {
-        if (reason == DispatchRefusal.OVERLOADED && overloadedSince == null) overloadedSince = now
-        val queue = selection.timePerRequest(this) * waiting.size
-        val overload = overloadedSince?.let { now - it } ?: Duration.ZERO
-        val wait = maxOf(queue, minOf(overload, LONGEST_OVERLOAD), SHORTEST_RETRY)
-        return DispatchDecision.Refused(ticket, holder, reason, retryAfter = wait * spreadOf(ticket))
+    private fun WaitingRequest.refused(reason: DispatchRefusal): DispatchDecision.Refused {
+        val wait = selection.timePerRequest(this) * waiting.size
+        return DispatchDecision.Refused(ticket, holder, reason, retryAfter = maxOf(wait, SHORTEST_RETRY))
     }
 
-    /** Returns a factor that differs between tickets and is the same for each repetition of one. */
-    private fun spreadOf(ticket: TicketId): Double =
-        1 - RETRY_SPREAD + 2 * RETRY_SPREAD * Random(ticket.hashCode()).nextDouble()
-
     private class RecentGrant(
         val decision: DispatchDecision.Granted,
         val request: WaitingRequest,
@@ -309,11 +293,5 @@
 
         /** Shortest time after which a refused request may come again. */
         val SHORTEST_RETRY = 200.milliseconds
-
-        /** Longest time for which an overload is expected to go on, well below the deadline of a generation. */
-        val LONGEST_OVERLOAD = 3.seconds
-
-        /** Share by which the times to come back differ from their mean, in either direction. */
-        const val RETRY_SPREAD = 0.2
     }
 }
