--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/StagePlan.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/StagePlan.kt
@@ -39,6 +39,9 @@
     /** Prefill servers beyond the balance; crests of prompts are shorter than those of memory. */
     private const val PREFILL_HEADROOM = 1.3
 
+    /** Servers from which a pool keeps two prefill servers, since the loss of the only one leaves slow reading. */
+    private const val POOL_WITH_SPARE_PREFILL = 5
+
     /** Share of the balance below which prefill servers are missing; far below the headroom, against flapping. */
     private const val PREFILL_SHORTAGE = 0.6
 
@@ -51,7 +54,8 @@
     fun change(prefill: Int, decode: Int, readingTime: Duration, holdingTime: Duration): ServerStage? {
         if (holdingTime <= Duration.ZERO) return null
         val balance = readingTime / (readingTime + holdingTime) * (prefill + decode)
-        val most = (balance * PREFILL_HEADROOM).roundToInt().coerceAtLeast(1)
+        val fewest = if (prefill + decode >= POOL_WITH_SPARE_PREFILL) 2 else 1
+        val most = (balance * PREFILL_HEADROOM).roundToInt().coerceAtLeast(fewest)
         val least = (balance * PREFILL_SHORTAGE).roundToInt().coerceAtLeast(1)
         return when {
             prefill > most -> ServerStage.DECODE
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/StagePlanTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/StagePlanTest.kt
@@ -35,6 +35,18 @@
         expectThat(change(prefill = 12, decode = 30)).isNull()
     }
 
+    /**
+     * Guards against a pool that gives up a prefill server because another server is away for a moment, and then loses
+     * the last one (an incident of cmn-dakar: no prefill server for three seconds of a crest).
+     */
+    @Test
+    fun `a pool of some servers keeps two prefill servers`() {
+        val long = 600.milliseconds
+        expectThat(StagePlan.change(2, 3, readingTime = 100.milliseconds, holdingTime = long)).isNull()
+        expectThat(StagePlan.change(3, 3, readingTime = 100.milliseconds, holdingTime = long))
+            .isEqualTo(ServerStage.DECODE)
+    }
+
     /**
      * Guards against a pool that has lost its prefill servers for good and reads all prompts slowly on decode servers
      * (cmn-dakar trouble-1 after the replacement of its servers).
