Read log lines beside the code that writes them

The trace command had its own quoting and unquoting of key=value pairs, which knew only one of the escapes of keyValueText. It now uses keyValueText and its new inverse readKeyValues; a property test reads back any pair of values. By reading, not seen in a run: the former pattern could exhaust the stack on a long quoted value, and a line cut after a single quote would have failed.

--- a/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/RequestStory.kt
+++ b/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/RequestStory.kt
@@ -6,6 +6,8 @@
  */
 package org.arbutusnotch.cli
 
+import org.arbutusnotch.telemetry.keyValueText
+import org.arbutusnotch.telemetry.readKeyValues
 import java.time.Duration
 import java.time.Instant
 import java.time.format.DateTimeParseException
@@ -18,19 +20,17 @@
  */
 internal class LogLine(val source: String, val time: Instant, val fields: Map<String, String>) {
     /** Returns the event and its fields as they were written, without the time. */
-    fun text(): String = fields.filterKeys { it !in HEAD_KEYS }.entries.joinToString(" ") { (key, value) ->
-        if (value.any { it.isWhitespace() } || value.isEmpty()) "$key=\"$value\"" else "$key=$value"
-    }
+    fun text(): String = fields.filterKeys { it !in HEAD_KEYS }.entries
+        .joinToString(" ") { (key, value) -> "$key=${keyValueText(value)}" }
 
     companion object {
         private val HEAD_KEYS = setOf("time", "level", "component")
-        private val FIELD = Regex("""(\w+)=("(?:[^"\\]|\\.)*"|\S+)""")
 
         /** Returns the event in [line] of the log [name], or null when it holds none. */
         fun parse(line: String, name: String): LogLine? {
             val start = line.indexOf("time=")
             if (start < 0) return null
-            val fields = FIELD.findAll(line, start).associate { it.groupValues[1] to unquoted(it.groupValues[2]) }
+            val fields = readKeyValues(line.substring(start))
             if ("event" !in fields) return null
             val collector = line.take(start).trim().substringAfterLast(' ')
             return timeOf(fields)?.let { LogLine(collector.ifEmpty { name }, it, fields) }
@@ -42,9 +42,6 @@
             // A line cut in its middle, as at the end of a log, is no event.
             null
         }
-
-        private fun unquoted(value: String): String =
-            if (value.startsWith('"')) value.substring(1, value.length - 1).replace("\\\"", "\"") else value
     }
 }
 
--- a/arbutusnotch-telemetry/src/test/kotlin/org/arbutusnotch/telemetry/EventLogTest.kt
+++ b/arbutusnotch-telemetry/src/test/kotlin/org/arbutusnotch/telemetry/EventLogTest.kt
@@ -25,6 +25,21 @@
         expectThat(readBack(text)).isEqualTo(value)
     }
 
+    /** Guards against a reader of logs that takes a value, or the pair after it, for another one. */
+    @Property(tries = 2_000, seed = "7402")
+    fun `pairs of a line can be read back`(@ForAll first: String, @ForAll second: String) {
+        val line = "event=read first=${keyValueText(first)} second=${keyValueText(second)}"
+
+        expectThat(readKeyValues(line)).isEqualTo(mapOf("event" to "read", "first" to first, "second" to second))
+    }
+
+    /** Guards against a line that was cut within a value and stops its reader. */
+    @Test
+    fun `cut value is kept as it is`() {
+        expectThat(readKeyValues("event=cut detail=\"")).isEqualTo(mapOf("event" to "cut", "detail" to "\""))
+        expectThat(readKeyValues("event=cut detail=\"\\u12\"")).isEqualTo(mapOf("event" to "cut", "detail" to "u12"))
+    }
+
     /** Guards against needless quotes, which make lines longer and harder to search. */
     @Test
     fun `plain values stay as they are`() {
