Judge the health of a stage once for each placement

The usual failure share of a stage and the count of its unhealthy servers were worked out again for every server of every waiting request, and twice for prefill servers. They are now worked out once for all servers of a placement; which servers are chosen stays the same.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -62,41 +62,58 @@
         return known.getOrNull(known.size / 2)
     }
 
-    protected fun mayTake(ledger: ServerLedger, entry: WaitingRequest, now: Timestamp): Boolean {
-        if (ledger.server.id in entry.excluded) return false
-        return when (admission(ledger, entry.domain, now)) {
-            Admission.FULL -> true
-            Admission.PROBE -> ledger.places.isEmpty()
-            Admission.NONE -> false
-        }
+    /** Returns the servers that may take [entry] at [now], as far as their health is concerned. */
+    protected fun takers(entry: WaitingRequest, now: Timestamp): List<ServerLedger> {
+        val stages = ledgers.values.groupBy { it.server.stage }
+            .mapValues { (stage, servers) -> StageHealth(stage, servers, entry.domain, now) }
+        return ledgers.values
+            .filter { it.server.id !in entry.excluded && stages.getValue(it.server.stage).mayTake(it) }
     }
+}
 
-    /**
-     * Returns how much work [ledger] may get. When more than half of the servers of a stage look unhealthy, the cause
-     * is rather the way to them or the requests, and each of them gets more than it would alone. Prefill servers are
-     * excepted, because decode servers can do their work.
-     */
-    private fun admission(ledger: ServerLedger, domain: FailureDomainId, now: Timestamp): Admission {
-        val peers = ledgers.values.filter { it.server.stage == ledger.server.stage }
-        val shares = peers.map { it.health.failureShare(domain) }.sorted()
-        val usual = shares.getOrElse((shares.size - 1) / 2) { 0.0 }
-        val own = ledger.health.admission(domain, usual, now)
-        if (own == Admission.FULL || ledger.server.stage == ServerStage.PREFILL) return own
-        val unhealthy = peers.count { it.health.admission(domain, usual, now) != Admission.FULL }
+/**
+ * Judges the [servers] of one stage for callers of [domain] at [now].
+ *
+ * When more than half of the servers look unhealthy, the cause is rather the way to them or the requests, and each of
+ * them gets more than it would alone. Prefill servers are excepted, because decode servers can do their work.
+ */
+private class StageHealth(
+    private val stage: ServerStage,
+    private val servers: List<ServerLedger>,
+    private val domain: FailureDomainId,
+    private val now: Timestamp,
+) {
+    private val usualShare: Double =
+        servers.map { it.health.failureShare(domain) }.sorted().getOrElse((servers.size - 1) / 2) { 0.0 }
+
+    private val mostAreUnhealthy: Boolean by lazy(LazyThreadSafetyMode.NONE) {
+        servers.count { ownAdmission(it) != Admission.FULL } * 2 > servers.size
+    }
+
+    fun mayTake(ledger: ServerLedger): Boolean = when (admission(ledger)) {
+        Admission.FULL -> true
+        Admission.PROBE -> ledger.places.isEmpty()
+        Admission.NONE -> false
+    }
+
+    private fun admission(ledger: ServerLedger): Admission {
+        val own = ownAdmission(ledger)
         return when {
-            unhealthy * 2 <= peers.size -> own
+            own == Admission.FULL || stage == ServerStage.PREFILL || !mostAreUnhealthy -> own
             own == Admission.NONE -> Admission.PROBE
             else -> Admission.FULL
         }
     }
+
+    private fun ownAdmission(ledger: ServerLedger) = ledger.health.admission(domain, usualShare, now)
 }
 
 /** Places plain calls: on the server that is expected to answer first, one call beyond its slots at the most. */
 internal class CallPlaceSelection(ledgers: Map<BackendServerId, ServerLedger>) : PlaceSelection(ledgers) {
     override fun place(entry: WaitingRequest, now: Timestamp): PlacedRequest? {
         val usual = usualCall()
-        return ledgers.values
-            .filter { it.places.size < it.server.slots + TRANSIT_CALLS && mayTake(it, entry, now) }
+        return takers(entry, now)
+            .filter { it.places.size < it.server.slots + TRANSIT_CALLS }
             .filter { now >= it.fullUntil && !isStalled(it, usual, now) }
             .minByOrNull { cost(it, entry, usual, now) }
             ?.let { PlacedRequest(PlannedPlace(it)) }
@@ -157,16 +174,14 @@
 ) : PlaceSelection(ledgers) {
     override fun place(entry: WaitingRequest, now: Timestamp): PlacedRequest? {
         val work = entry.work as? DispatchWork.Generation ?: return null
-        val decode = ledgers.values
-            .filter { it.server.stage != ServerStage.PREFILL && hasRoom(it, work, now) && mayTake(it, entry, now) }
-        val prefill = ledgers.values
-            .filter { it.server.stage == ServerStage.PREFILL && mayTake(it, entry, now) && mayRead(it, now) }
-            .minByOrNull { readingTime(it, work, now) }
+        val (readers, runners) = takers(entry, now).partition { it.server.stage == ServerStage.PREFILL }
+        val decode = runners.filter { hasRoom(it, work, now) }
+        val prefill = readers.filter { mayRead(it, now) }.minByOrNull { readingTime(it, work, now) }
         return if (prefill != null && !work.direct) {
             val run = decode.minByOrNull { load(it, entry, now) } ?: return null
             withPrefill(run, prefill, work)
         } else {
-            direct(decode, entry, work, now)
+            direct(decode, entry, work, noReader = readers.isEmpty(), now)
         }
     }
 
@@ -178,10 +193,11 @@
         decode: List<ServerLedger>,
         entry: WaitingRequest,
         work: DispatchWork.Generation,
+        noReader: Boolean,
         now: Timestamp,
     ): PlacedRequest? {
         val overdue = now - entry.waitingSince >= directTime(entry)
-        val mayUseDecode = work.direct || overdue || noPrefillServer(entry, now)
+        val mayUseDecode = work.direct || overdue || noReader
         return decode.filter { it.server.stage == ServerStage.WHOLE }
             .ifEmpty { decode.takeIf { mayUseDecode }.orEmpty() }
             .filter { it.ownPrompts(now) < DIRECT_PROMPTS }
@@ -194,9 +210,6 @@
         prefill = PlannedPlace(prefill, tokens = work.promptTokens, tokensAhead = prefill.promptTokensAhead),
     )
 
-    private fun noPrefillServer(entry: WaitingRequest, now: Timestamp): Boolean =
-        ledgers.values.none { it.server.stage == ServerStage.PREFILL && mayTake(it, entry, now) }
-
     /** Memory grows with the output, so that a run holds only a part of it on average. */
     private fun memory(work: DispatchWork.Generation): Int =
         work.promptTokens + (work.outputTokens * AVERAGE_OUTPUT).toInt()
