Collect bounded bodies, and name the statuses of own failures, in one place

SingleCall, calls and generations each kept a body with a limit of its own shape; CollectedBody serves all three. The statuses 502 and 504 stood in Exchange and again in OwnAnswers, which knows their phrases.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -14,13 +14,13 @@
 import org.arbutusnotch.forwarding.dispatch.GrantedPlace
 import org.arbutusnotch.forwarding.dispatch.PlaceUse
 import org.arbutusnotch.forwarding.http.CallEnd
+import org.arbutusnotch.forwarding.http.CollectedBody
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
 import org.arbutusnotch.forwarding.http.Responder
 import org.arbutusnotch.forwarding.http.ResponseHead
 import org.arbutusnotch.forwarding.http.ServerCall
 import org.arbutusnotch.forwarding.http.ServerCallListener
 import org.arbutusnotch.forwarding.http.socketAddress
-import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -84,7 +84,7 @@
 
     private fun endAfterFailure(reason: String) {
         val failure = lastFailure
-        if (failure != null) deliver(failure.head, failure.body) else fail(BAD_GATEWAY, reason)
+        if (failure != null) deliver(failure.head, failure.body) else fail(OwnAnswers.BAD_GATEWAY, reason)
     }
 
     override fun onNoPlace(reason: DispatchRefusal, retryAfter: Duration) {
@@ -93,7 +93,7 @@
 
     private inner class Attempt(val place: GrantedPlace) : ServerCallListener {
         private val startedAt: Timestamp = context.now()
-        private val body = ByteArrayOutputStream()
+        private val body = CollectedBody(MAXIMUM_COLLECTED_BYTES)
         private var call: ServerCall? = null
         private var head: ResponseHead? = null
         private var facts: ServerAnswer? = null
@@ -142,11 +142,10 @@
         }
 
         override fun onPart(content: ByteBuf) {
-            content.readBytes(body, content.readableBytes())
-            content.release()
-            if (body.size() <= MAXIMUM_COLLECTED_BYTES || over) return
+            body.add(content)
+            if (!body.isTooLarge || over) return
             call?.cancel()
-            end(AttemptResult.Unknown("answer is larger than $MAXIMUM_COLLECTED_BYTES bytes"))
+            end(AttemptResult.Unknown(body.fault()))
         }
 
         override fun onEnd(end: CallEnd) {
@@ -167,7 +166,7 @@
             is CallEnd.Broken -> AttemptResult.Unknown(end.detail)
 
             is CallEnd.Complete -> when (val verdict = AnswerVerdict.of(head, facts, request.caller.id)) {
-                is AnswerVerdict.Valid -> AttemptResult.Answered(verdict.head, body.toByteArray())
+                is AnswerVerdict.Valid -> AttemptResult.Answered(verdict.head, body.bytes())
                 is AnswerVerdict.NotRun -> notRun(PlaceOutcome.NOT_RUN, verdict.detail, received = true)
                 is AnswerVerdict.Invalid -> AttemptResult.Unknown(verdict.detail)
             }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -139,13 +139,13 @@
 
     /** Ends the request after the dispatcher refused it. */
     protected open fun onNoPlace(reason: DispatchRefusal, retryAfter: Duration) {
-        if (mayHaveRun) fail(BAD_GATEWAY, reason.code()) else refuse(reason.code(), retryAfter)
+        if (mayHaveRun) fail(OwnAnswers.BAD_GATEWAY, reason.code()) else refuse(reason.code(), retryAfter)
     }
 
     /** Ends the request at its deadline. */
     protected open fun onDeadline() {
         stopAttempt()
-        if (mayHaveRun) fail(GATEWAY_TIMEOUT, "deadline") else refuse("deadline", SHORTEST_RETRY)
+        if (mayHaveRun) fail(OwnAnswers.GATEWAY_TIMEOUT, "deadline") else refuse("deadline", SHORTEST_RETRY)
     }
 
     override fun onCallerLeft() {
@@ -214,9 +214,6 @@
     }
 
     protected companion object {
-        const val BAD_GATEWAY: Int = 502
-        const val GATEWAY_TIMEOUT: Int = 504
-
         /**
          * Bytes of one answer that are kept in memory before it is passed on: twice what callers may send, and a sixth
          * of the memory of a small instance.
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -18,6 +18,7 @@
 import org.arbutusnotch.forwarding.dispatch.GrantedPlace
 import org.arbutusnotch.forwarding.dispatch.PlaceUse
 import org.arbutusnotch.forwarding.http.CallEnd
+import org.arbutusnotch.forwarding.http.CollectedBody
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
 import org.arbutusnotch.forwarding.http.HttpResponseMessage
 import org.arbutusnotch.forwarding.http.Responder
@@ -26,7 +27,6 @@
 import org.arbutusnotch.forwarding.http.ServerCallListener
 import org.arbutusnotch.forwarding.http.SingleCall
 import org.arbutusnotch.forwarding.http.socketAddress
-import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
@@ -241,13 +241,13 @@
 
             begun -> breakOff(end.detail)
 
-            else -> fail(BAD_GATEWAY, end.detail)
+            else -> fail(OwnAnswers.BAD_GATEWAY, end.detail)
         }
     }
 
     private inner class Run(val place: GrantedPlace, val part: RunPart) : ServerCallListener {
         private val startedAt: Timestamp = context.now()
-        private val body = ByteArrayOutputStream()
+        private val body = CollectedBody(MAXIMUM_COLLECTED_BYTES)
         private var call: ServerCall? = null
         private var head: ResponseHead? = null
         private var facts: ServerAnswer? = null
@@ -315,11 +315,10 @@
         }
 
         private fun collect(content: ByteBuf) {
-            content.readBytes(body, content.readableBytes())
-            content.release()
-            if (body.size() <= MAXIMUM_COLLECTED_BYTES || over) return
+            body.add(content)
+            if (!body.isTooLarge || over) return
             call?.cancel()
-            end(RunEnd.Broken("answer is larger than $MAXIMUM_COLLECTED_BYTES bytes"))
+            end(RunEnd.Broken(body.fault()))
         }
 
         private fun begin(received: ResponseHead) {
@@ -361,7 +360,7 @@
             is CallEnd.Broken -> RunEnd.Broken(end.detail)
 
             is CallEnd.Complete -> when (val verdict = AnswerVerdict.of(head, facts, request.caller.id)) {
-                is AnswerVerdict.Valid -> RunEnd.Completed(verdict.head, body.toByteArray(), describe(verdict.head))
+                is AnswerVerdict.Valid -> RunEnd.Completed(verdict.head, body.bytes(), describe(verdict.head))
                 is AnswerVerdict.NotRun -> notRun(PlaceOutcome.NOT_RUN, verdict.detail, received = true)
                 is AnswerVerdict.Invalid -> RunEnd.Broken(verdict.detail)
             }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/OwnAnswers.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/OwnAnswers.kt
@@ -10,6 +10,8 @@
 import kotlin.time.Duration
 
 internal object OwnAnswers {
+    const val BAD_GATEWAY: Int = 502
+    const val GATEWAY_TIMEOUT: Int = 504
     private const val SERVICE_UNAVAILABLE = 503
     private const val NOT_FOUND = 404
     private const val BAD_REQUEST = 400
@@ -48,6 +50,4 @@
 
     /** Returns the head of a server's answer without what concerns its connection. */
     fun passedOn(head: ResponseHead): ResponseHead = head.copy(headers = ConnectionHeaders.passedOn(head))
-
-    private const val GATEWAY_TIMEOUT = 504
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/SingleCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/SingleCall.kt
@@ -8,7 +8,6 @@
 import com.github.michaelbull.result.Result
 import io.netty.buffer.ByteBuf
 import io.netty.channel.EventLoopGroup
-import java.io.ByteArrayOutputStream
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -25,12 +24,12 @@
     private val request: HttpRequestMessage,
     private val connectTime: Duration,
     private val answerTime: Duration,
-    private val maximumBytes: Int = DEFAULT_MAXIMUM_BYTES,
+    maximumBytes: Int = DEFAULT_MAXIMUM_BYTES,
     private val maySend: () -> Boolean = { true },
     private val onResult: (Result<HttpResponseMessage, CallEnd>) -> Unit,
 ) : ServerCallListener {
     private val call = ServerCall(request, connectTime, this)
-    private val body = ByteArrayOutputStream()
+    private val body = CollectedBody(maximumBytes)
     private var head: ResponseHead? = null
     private var done = false
 
@@ -63,15 +62,14 @@
     }
 
     override fun onPart(content: ByteBuf) {
-        content.readBytes(body, content.readableBytes())
-        content.release()
-        if (body.size() > maximumBytes) giveUp("answer is larger than $maximumBytes bytes")
+        body.add(content)
+        if (body.isTooLarge) giveUp(body.fault())
     }
 
     override fun onEnd(end: CallEnd) {
         val received = head
         if (end is CallEnd.Complete && received != null) {
-            finish(Ok(HttpResponseMessage(received, body.toByteArray())))
+            finish(Ok(HttpResponseMessage(received, body.bytes())))
         } else {
             finish(Err(end))
         }
