Take servers out of use that announce it in their answers

Cause: only the store said that a server leaves. A server that says so in its answers kept getting work until its entry changed, and again when a stale entry said ready. A 503 with Retry-After was only a reason to pass the server over for 0.3 s.

Ruled out: the dispatcher alone as the place of the decision. Its notice can be lost, and a grant can be on its way; the instance that heard the answer therefore checks again immediately before it sends.

A pool whose servers all pause for longer than a request can wait is refused at once with the soonest time, and so is a waiting request of a pool without a server.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -62,12 +62,13 @@
         return known.getOrNull(known.size / 2)
     }
 
-    /** Returns the servers that may take [entry] at [now], as far as their health is concerned. */
+    /** Returns the servers that may take [entry] at [now], as far as their health and their own wishes are concerned. */
     protected fun takers(entry: WaitingRequest, now: Timestamp): List<ServerLedger> {
         val stages = ledgers.values.groupBy { it.server.stage }
             .mapValues { (stage, servers) -> StageHealth(stage, servers, entry.domain, now) }
         return ledgers.values
-            .filter { it.server.id !in entry.excluded && stages.getValue(it.server.stage).mayTake(it) }
+            .filter { it.server.id !in entry.excluded && it.pausedUntil(entry.holder, now) == null }
+            .filter { stages.getValue(it.server.stage).mayTake(it) }
     }
 }
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -11,6 +11,7 @@
 
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.EngineProfile
+import org.arbutusnotch.core.forwarding.ServerStage
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.id.TicketId
@@ -84,7 +85,7 @@
         val entry = WaitingRequest.of(request, now)
         if (isUninformed(now)) informedAt = now + REPORTS_TIME
         val refusal = refusalOf(request, entry, now)
-        if (refusal != null) return listOf(entry.refused(refusal))
+        if (refusal != null) return listOf(entry.refused(refusal, now))
         waiting[request.ticket] = entry
         val decisions = pump(now)
         if (request.ticket !in waiting) return decisions
@@ -161,6 +162,17 @@
         return change
     }
 
+    /** Gives [server] no requests of [holder] before [until], and returns the decisions that follow from it. */
+    public fun pause(
+        server: BackendServerId,
+        holder: InstanceId,
+        until: Timestamp,
+        now: Timestamp,
+    ): List<DispatchDecision> {
+        ledgers[server]?.pauseFor(holder, until)
+        return pump(now)
+    }
+
     /** Takes back [change], whose order did not reach its server; another one may be ordered at once. */
     public fun stageChangeNotSent(change: StageChange, now: Timestamp) {
         nextStageChange = now
@@ -177,17 +189,38 @@
         return pump(now)
     }
 
-    private fun refusalOf(request: DispatchRequest, entry: WaitingRequest, now: Timestamp): DispatchRefusal? = when {
-        ledgers.keys.none { it !in entry.excluded } -> DispatchRefusal.NO_SERVER
+    private fun refusalOf(request: DispatchRequest, entry: WaitingRequest, now: Timestamp): DispatchRefusal? {
+        val withoutServer = withoutServer(entry, now)
+        return when {
+            withoutServer != null -> withoutServer
 
-        request.repeated && !budget.take(now) -> DispatchRefusal.RETRY_BUDGET
+            request.repeated && !budget.take(now) -> DispatchRefusal.RETRY_BUDGET
+
+            else -> {
+                if (!request.repeated) budget.recordFirstAttempt(now)
+                DispatchRefusal.OVERLOADED.takeIf { isHopeless(entry, waiting.size, now) }
+            }
+        }
+    }
 
-        else -> {
-            if (!request.repeated) budget.recordFirstAttempt(now)
-            DispatchRefusal.OVERLOADED.takeIf { isHopeless(entry, waiting.size, now) }
+    /** Returns why no server of the pool will take [entry] in time, or null. */
+    private fun withoutServer(entry: WaitingRequest, now: Timestamp): DispatchRefusal? {
+        val runners = runners(entry)
+        return when {
+            ledgers.keys.none { it !in entry.excluded } -> DispatchRefusal.NO_SERVER
+            firstWanted(runners, entry, now) >= entry.beginBy -> DispatchRefusal.SERVERS_PAUSED
+            else -> null
         }
     }
 
+    /** Returns the servers that could run [entry], whatever they want and however busy they are. */
+    private fun runners(entry: WaitingRequest): List<ServerLedger> =
+        ledgers.values.filter { it.server.stage != ServerStage.PREFILL && it.server.id !in entry.excluded }
+
+    /** Returns the earliest time at which one of [servers] wants requests of the holder of [entry]. */
+    private fun firstWanted(servers: List<ServerLedger>, entry: WaitingRequest, now: Timestamp): Timestamp =
+        servers.minOfOrNull { it.pausedUntil(entry.holder, now) ?: now } ?: now
+
     private fun isHopeless(entry: WaitingRequest, ahead: Int, now: Timestamp): Boolean {
         val wait = selection.timePerRequest(entry) * ahead
         return now + wait + selection.firstTime(entry, now) >= entry.beginBy ||
@@ -197,10 +230,11 @@
     private fun pump(now: Timestamp): List<DispatchDecision> {
         if (waiting.isEmpty()) return emptyList()
         val decisions = mutableListOf<DispatchDecision>()
-        val hopeless = waiting.values.filter { isHopeless(it, ahead = 0, now) }
-        hopeless.forEach {
-            waiting.remove(it.ticket)
-            decisions += it.refused(DispatchRefusal.OVERLOADED)
+        waiting.values.toList().forEach { entry ->
+            val overloaded = DispatchRefusal.OVERLOADED.takeIf { isHopeless(entry, ahead = 0, now) }
+            val refusal = withoutServer(entry, now) ?: overloaded ?: return@forEach
+            waiting.remove(entry.ticket)
+            decisions += entry.refused(refusal, now)
         }
         for (entry in inOrder(now)) {
             val granted = place(entry, now) ?: break
@@ -252,8 +286,13 @@
         )
     }
 
-    private fun WaitingRequest.refused(reason: DispatchRefusal): DispatchDecision.Refused {
-        val wait = selection.timePerRequest(this) * waiting.size
+    private fun WaitingRequest.refused(reason: DispatchRefusal, now: Timestamp): DispatchDecision.Refused {
+        val wait = when (reason) {
+            DispatchRefusal.SERVERS_PAUSED -> firstWanted(runners(this), this, now) - now
+
+            DispatchRefusal.NO_SERVER, DispatchRefusal.OVERLOADED, DispatchRefusal.RETRY_BUDGET ->
+                selection.timePerRequest(this) * waiting.size
+        }
         return DispatchDecision.Refused(ticket, holder, reason, retryAfter = maxOf(wait, SHORTEST_RETRY))
     }
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerLedger.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerLedger.kt
@@ -4,6 +4,7 @@
 package org.arbutusnotch.core.dispatch
 
 import org.arbutusnotch.core.forwarding.BackendServer
+import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.id.TicketId
 import org.arbutusnotch.core.message.PlacePart
@@ -68,6 +69,21 @@
     /** Time until which the server gets no new runs, because it rejected one. */
     var fullUntil: Timestamp = Timestamp(0)
 
+    private val pausedUntil = HashMap<InstanceAddress, Timestamp>()
+
+    /** Records that the server wants no requests of [holder] before [until]. */
+    fun pauseFor(holder: InstanceId, until: Timestamp) {
+        pausedUntil.merge(holder.address, until, ::maxOf)
+    }
+
+    /** Returns the time from which the server wants requests of [holder]; null when it wants them at [now]. */
+    fun pausedUntil(holder: InstanceId, now: Timestamp): Timestamp? {
+        val until = pausedUntil[holder.address] ?: return null
+        if (now < until) return until
+        pausedUntil.remove(holder.address)
+        return null
+    }
+
     /** Time of the latest answer. */
     var answeredAt: Timestamp = Timestamp(0)
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
@@ -79,6 +79,9 @@
 
     /** Too many requests were sent to servers more than once lately. */
     RETRY_BUDGET,
+
+    /** Every server that is left has asked the holder to stay away for longer than the request can wait. */
+    SERVERS_PAUSED,
 }
 
 /** Answers a [DispatchRequest]. */
@@ -185,3 +188,36 @@
     @SerialName("p") public val pool: PoolId,
     @SerialName("l") public val places: List<HeldPlace>,
 ) : DispatchMessage
+
+/** Passes on to the dispatcher what a server of [pool] said of itself in an answer. */
+@Serializable
+public sealed interface ServerNotice : DispatchMessage {
+    /** Pool of the server. */
+    public val pool: PoolId
+
+    /** The server that answered. */
+    public val server: BackendServerId
+
+    /**
+     * The server leaves and must get no more requests.
+     *
+     * @property startedAt start of the server's process by its own account, in epoch milliseconds
+     */
+    @Serializable
+    @SerialName("server-leaves")
+    public data class Leaving(
+        @SerialName("p") override val pool: PoolId,
+        @SerialName("s") override val server: BackendServerId,
+        @SerialName("a") public val startedAt: Long,
+    ) : ServerNotice
+
+    /** The server wants no requests of [holder] for [pauseMillis]. */
+    @Serializable
+    @SerialName("server-pauses")
+    public data class Pause(
+        @SerialName("p") override val pool: PoolId,
+        @SerialName("s") override val server: BackendServerId,
+        @SerialName("h") public val holder: InstanceId,
+        @SerialName("m") public val pauseMillis: Long,
+    ) : ServerNotice
+}
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
@@ -5,6 +5,9 @@
 
 import org.arbutusnotch.core.dispatch.DispatchFixture.Companion.server
 import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.Incarnation
+import org.arbutusnotch.core.id.InstanceAddress
+import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.id.TicketId
 import org.arbutusnotch.core.message.DispatchRefusal
 import org.arbutusnotch.core.message.DispatchWork
@@ -47,6 +50,46 @@
         expectThat(fixture.release(running[1]).granted().single().ticket).isEqualTo(late.ticket)
     }
 
+    /** Guards against a pause that one holder was asked for and that binds all of them, and against one that is ignored. */
+    @Test
+    fun `paused server takes calls of other holders only`() {
+        val fixture = DispatchFixture(listOf(server("a"), server("b")))
+        val other = InstanceId(InstanceAddress("127.0.0.1:9"), Incarnation(1))
+        fixture.dispatcher.pause(BackendServerId("a"), DispatchFixture.HOLDER, fixture.now + 2.seconds, fixture.now)
+        expectThat((1..3).flatMap { fixture.submitCall() }.granted().map { it.server.value }.distinct())
+            .isEqualTo(listOf("b"))
+        val ofOther = fixture.submit(fixture.request(DispatchWork.Call, holder = other)).granted()
+        expectThat(ofOther.single().server.value).isEqualTo("a")
+        fixture.release(ofOther.single())
+        fixture.pass(2.seconds)
+        expectThat(fixture.submitCall().granted().single().server.value).isEqualTo("a")
+    }
+
+    /** Guards against waiting requests that stay queued although nothing will take them before they are refused. */
+    @Test
+    fun `waiting call is refused when every server pauses for longer than it can wait`() {
+        val fixture = DispatchFixture(listOf(server("a", slots = 1)))
+        repeat(2) { fixture.submitCall() }
+        val waiting = fixture.request(DispatchWork.Call, begin = 1.seconds)
+        fixture.submit(waiting)
+        val until = fixture.now + 1_500.milliseconds
+        val refused = fixture.dispatcher.pause(BackendServerId("a"), DispatchFixture.HOLDER, until, fixture.now).refused()
+        expectThat(refused.map { it.ticket to it.reason })
+            .isEqualTo(listOf(waiting.ticket to DispatchRefusal.SERVERS_PAUSED))
+        expectThat(refused.single().retryAfter).isEqualTo(1_500.milliseconds)
+    }
+
+    /** Guards against waiting requests of a pool that has lost its last server. */
+    @Test
+    fun `waiting call is refused when no server is left`() {
+        val fixture = DispatchFixture(listOf(server("a", slots = 1)))
+        repeat(2) { fixture.submitCall() }
+        fixture.submitCall()
+        fixture.dispatcher.configure(emptyList(), engine = null)
+        expectThat(fixture.dispatcher.tick(fixture.now).refused().map { it.reason })
+            .isEqualTo(listOf(DispatchRefusal.NO_SERVER))
+    }
+
     @Test
     fun `more urgent call goes first`() {
         val fixture = DispatchFixture(listOf(server("a", slots = 1)))
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/ServerRegistryTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/ServerRegistryTest.kt
@@ -9,9 +9,12 @@
 import org.arbutusnotch.core.time.Timestamp
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -38,6 +41,41 @@
         expectThat(registry.findUsable(id, start)).isNull()
     }
 
+    /** Guards against a stale entry, in a listing or a change, that brings back a server that said that it leaves. */
+    @Test
+    fun `server that announced its leaving stays out until a later start`() {
+        registry.put(server(startedAt = 5), start)
+        expectThat(registry.noteLeaving(id, startedAt = 5)).isTrue()
+        expectThat(registry.noteLeaving(id, startedAt = 5)).isFalse()
+        registry.put(server(startedAt = 5), start + 1.seconds)
+        registry.replaceAll(listOf(server(startedAt = 5)), start + 2.seconds)
+        registry.remove(id, start + 3.seconds)
+        registry.put(server(startedAt = 5), start + 60.seconds)
+        expectThat(registry.findUsable(id, start + 60.seconds)).isNull()
+        expectThat(registry.usable(start + 60.seconds)).isEmpty()
+        registry.put(server(startedAt = 6), start + 61.seconds)
+        expectThat(registry.findUsable(id, start + 61.seconds)).isNotNull()
+    }
+
+    /** Guards against an announcement that arrives after the server started again and takes the new process out. */
+    @Test
+    fun `announcement of an earlier start has no effect`() {
+        registry.put(server(startedAt = 6), start)
+        registry.noteLeaving(id, startedAt = 5)
+        expectThat(registry.findUsable(id, start)).isNotNull()
+    }
+
+    /** Guards against a pause that a shorter one ends early, and against one that never ends. */
+    @Test
+    fun `paused server is not usable until its pause ends`() {
+        registry.put(server(), start)
+        registry.pause(id, start + 2.seconds)
+        registry.pause(id, start + 1.seconds)
+        expectThat(registry.findUsable(id, start + 1_999.milliseconds)).isNull()
+        expectThat(registry.usable(start).map { it.id }).isEqualTo(listOf(id))
+        expectThat(registry.findUsable(id, start + 2.seconds)).isNotNull()
+    }
+
     /** Guards against an old heartbeat that replaces the entry of a later start. */
     @Test
     fun `entry of an earlier start is ignored`() {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -8,6 +8,7 @@
 
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.onOk
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.netty.channel.EventLoopGroup
@@ -30,6 +31,7 @@
 import org.arbutusnotch.core.message.InstanceState
 import org.arbutusnotch.core.message.PeerMessage
 import org.arbutusnotch.core.message.RevisionMark
+import org.arbutusnotch.core.message.ServerNotice
 import org.arbutusnotch.core.retry.RetryBudget
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.forwarding.dispatch.DispatchClient
@@ -39,6 +41,7 @@
 import org.arbutusnotch.forwarding.entry.DirectoryHandler
 import org.arbutusnotch.forwarding.entry.MetricsHandler
 import org.arbutusnotch.forwarding.entry.ReadinessHandler
+import org.arbutusnotch.forwarding.exchange.AnnouncementReader
 import org.arbutusnotch.forwarding.exchange.ForwardingContext
 import org.arbutusnotch.forwarding.exchange.ForwardingCounters
 import org.arbutusnotch.forwarding.exchange.FrontHandler
@@ -102,6 +105,7 @@
     private val serverFollower = follower(protocols.items.serverPrefix, published.serverListener)
     private val dispatchService = DispatchService(
         servers = { registry.usable(it) },
+        noteLeaving = { server, startedAt -> registry.noteLeaving(server, startedAt) },
         definition = { published.routes?.pools?.get(it) },
         newBudget = { RetryBudget(requestsPerRetry(), (settings.retryAllowance * DISPATCHER_SHARE).toInt()) },
         mayOrder = { pool, now -> tenure.mayOrder(pool, now) },
@@ -117,12 +121,19 @@
         now = { clock.now() },
     )
     private val tenure = DispatcherTenure({ dispatchClient.isDispatcher(it) }, { membership.seesMajority() })
+    private val announcements = AnnouncementReader(
+        registry = registry,
+        now = { clock.now() },
+        onLeaving = { dispatchClient.announceLeaving(it) },
+        onPause = { server, time -> dispatchClient.announcePause(server.pool, server.id, time) },
+    )
     private val context = ForwardingContext(
         clock = clock,
         group = group,
         protocol = protocols.forwarding,
         registry = registry,
         dispatch = dispatchClient,
+        announcements = announcements,
         random = random,
         counters = counters,
     )
@@ -233,6 +244,8 @@
 
             is HeldPlaces -> dispatchService.onHeld(message, now)
 
+            is ServerNotice -> dispatchService.onNotice(message, now)
+
             is DispatchReply -> dispatchClient.onReply(message, sender)
 
             else -> log.warn("unexpected_message") {
@@ -327,13 +340,15 @@
             field("pool", server.pool)
             field("stage", change.stage)
         }
-        SingleCall(order, ORDER_TIME, ORDER_TIME) { result ->
+        val mayOrder = { registry.findUsable(server.id, clock.now()) != null }
+        SingleCall(order, ORDER_TIME, ORDER_TIME, maySend = mayOrder) { result ->
+            result.onOk { announcements.read(server, protocols.forwarding.readAnswer(it.head)) }
             log.info("stage_order_ended") {
                 field("server", server.id)
                 field("result", result.fold(success = { "status ${it.head.status}" }, failure = { it.toString() }))
             }
             // Without an answer the order may have been accepted.
-            if (result.getError() is CallEnd.NotSent) onNotSent()
+            if (result.getError().let { it is CallEnd.NotSent || it is CallEnd.Withheld }) onNotSent()
         }.start(socketAddress(server.address), group)
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
@@ -43,6 +43,18 @@
     public data class Decode(public val address: String, public val handle: String) : RunPart()
 }
 
+/** Says for how long a server that turned a request away wants none from this instance. */
+public sealed class ServerPause {
+    /** The server did not ask for a pause. */
+    public data object None : ServerPause()
+
+    /** The server wants no requests for [time]. */
+    public data class For(public val time: Duration) : ServerPause()
+
+    /** The server asked for a pause in a form that means nothing here; [text] is what it sent. */
+    public data class Unreadable(public val text: String) : ServerPause()
+}
+
 /**
  * Holds what the head of an answer says.
  *
@@ -50,12 +62,16 @@
  * @property sealed whether the server vouches for the answer
  * @property notRun whether the server states that it did not run the request
  * @property slowdownPercent time that work takes on the server's machine, 100 as usual; 0 when it does not say
+ * @property leaving whether the server says that it leaves
+ * @property pause what the server asks of this instance
  */
 public data class ServerAnswer(
     public val requestId: RequestId?,
     public val sealed: Boolean,
     public val notRun: Boolean,
     public val slowdownPercent: Int,
+    public val leaving: Boolean = false,
+    public val pause: ServerPause = ServerPause.None,
 )
 
 /** Translates the messages between callers and backend servers. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -26,6 +26,7 @@
 import org.arbutusnotch.core.message.PeerMessage
 import org.arbutusnotch.core.message.PlaceOutcome
 import org.arbutusnotch.core.message.PlacePart
+import org.arbutusnotch.core.message.ServerNotice
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.telemetry.EventLog
 import kotlin.time.Duration
@@ -134,6 +135,16 @@
         send(dispatcherOf(place.pool), report)
     }
 
+    /** Tells the dispatcher of its pool that [server] leaves. */
+    fun announceLeaving(server: BackendServer) =
+        announce(ServerNotice.Leaving(server.pool, server.id, server.startedAt))
+
+    /** Tells the dispatcher of its pool that [server] wants no requests of this instance for [time]. */
+    fun announcePause(pool: PoolId, server: BackendServerId, time: Duration) =
+        announce(ServerNotice.Pause(pool, server, self, time.inWholeMilliseconds))
+
+    private fun announce(notice: ServerNotice) = send(dispatcherOf(notice.pool), notice)
+
     fun onReply(reply: DispatchReply, sender: InstanceAddress) {
         passedOver.remove(sender)
         val asked = pending[reply.ticket]
@@ -179,6 +190,10 @@
         val unusable = listOfNotNull(reply.server, reply.prefillServer).filter {
             registry.findUsable(it, now()) == null
         }
+        // The dispatcher may have missed the notice of a pause.
+        unusable.forEach { server ->
+            registry.pausedUntil(server, now())?.let { announcePause(pool, server, it - now()) }
+        }
         val excluded = asked.question.excluded + unusable
         if (excluded.size > MAXIMUM_EXCLUDED) {
             val refusal = DispatchRefusal.NO_SERVER
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -8,20 +8,24 @@
 import org.arbutusnotch.core.dispatch.StageChange
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.PoolDefinition
+import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.message.DispatchRelease
 import org.arbutusnotch.core.message.DispatchReply
 import org.arbutusnotch.core.message.DispatchRequest
 import org.arbutusnotch.core.message.HeldPlaces
+import org.arbutusnotch.core.message.ServerNotice
 import org.arbutusnotch.core.retry.RetryBudget
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.telemetry.EventLog
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Holds one [PoolDispatcher] for each pool.
  *
  * @param servers returns the servers of all pools that may get new work
+ * @param noteLeaving records that the process of a server that started at a time leaves
  * @param definition returns what the configuration says of a pool
  * @param newBudget creates the retry budget of a pool
  * @param mayOrder returns whether this instance alone may order servers of a pool
@@ -30,6 +34,7 @@
  */
 internal class DispatchService(
     private val servers: (Timestamp) -> List<BackendServer>,
+    private val noteLeaving: (BackendServerId, Long) -> Unit,
     private val definition: (PoolId) -> PoolDefinition?,
     private val newBudget: () -> RetryBudget,
     private val mayOrder: (PoolId, Timestamp) -> Boolean,
@@ -60,6 +65,22 @@
         deliver(held.pool, dispatcher(held.pool, now).renew(held, now))
     }
 
+    fun onNotice(notice: ServerNotice, now: Timestamp) {
+        val dispatcher = dispatchers[notice.pool]
+        when (notice) {
+            is ServerNotice.Leaving -> {
+                noteLeaving(notice.server, notice.startedAt)
+                dispatcher?.let { configure(notice.pool, it, now) }
+            }
+
+            is ServerNotice.Pause -> {
+                val until = now + notice.pauseMillis.milliseconds
+                val decisions = dispatcher?.pause(notice.server, notice.holder, until, now).orEmpty()
+                deliver(notice.pool, decisions)
+            }
+        }
+    }
+
     fun tick(now: Timestamp) {
         if (dispatchers.isEmpty()) return
         val usable = servers(now).groupBy { it.pool }
@@ -80,10 +101,13 @@
 
     private fun dispatcher(pool: PoolId, now: Timestamp): PoolDispatcher = dispatchers.getOrPut(pool) {
         PoolDispatcher(newBudget()).also { created ->
-            created.configure(servers(now).filter { it.pool == pool }, definition(pool)?.engine)
+            configure(pool, created, now)
         }
     }
 
+    private fun configure(pool: PoolId, dispatcher: PoolDispatcher, now: Timestamp) =
+        dispatcher.configure(servers(now).filter { it.pool == pool }, definition(pool)?.engine)
+
     private fun deliver(pool: PoolId, decisions: List<DispatchDecision>) {
         decisions.forEach { decision ->
             if (decision is DispatchDecision.Refused) logRefusal(pool, decision)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -138,7 +138,7 @@
 
         override fun onHead(head: ResponseHead) {
             this.head = head
-            facts = context.protocol.readAnswer(head)
+            facts = readAnswer(place.server, head)
         }
 
         override fun onPart(content: ByteBuf) {
@@ -163,6 +163,8 @@
         private fun resultOf(end: CallEnd): AttemptResult = when (end) {
             is CallEnd.NotSent -> notRun(PlaceOutcome.UNREACHABLE, end.detail, received = false)
 
+            CallEnd.Withheld -> notRun(PlaceOutcome.UNUSED, "server must get no requests", received = false)
+
             is CallEnd.Broken -> AttemptResult.Unknown(end.detail)
 
             is CallEnd.Complete -> when (val verdict = AnswerVerdict.of(head, facts, request.caller.id)) {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -6,6 +6,7 @@
  */
 package org.arbutusnotch.forwarding.exchange
 
+import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.Route
 import org.arbutusnotch.core.forwarding.RouteKind
 import org.arbutusnotch.core.id.BackendServerId
@@ -15,6 +16,7 @@
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.forwarding.CallerRequest
+import org.arbutusnotch.forwarding.ServerAnswer
 import org.arbutusnotch.forwarding.dispatch.GrantedPlace
 import org.arbutusnotch.forwarding.dispatch.PlaceAnswer
 import org.arbutusnotch.forwarding.dispatch.PlaceQuestion
@@ -201,6 +203,13 @@
         }
     }
 
+    /** Returns what the [head] of an answer of [server] says, and acts on what the server says of itself. */
+    protected fun readAnswer(server: BackendServer, head: ResponseHead): ServerAnswer {
+        val facts = context.protocol.readAnswer(head)
+        context.announcements.read(server, facts, request.caller.id)
+        return facts
+    }
+
     protected fun logAttempt(server: BackendServerId, part: String, outcome: String, detail: String, since: Timestamp) {
         context.counters.attempted(outcome)
         log.info("attempt_ended") {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
@@ -21,6 +21,7 @@
     val protocol: ForwardingProtocol,
     val registry: ServerRegistry,
     val dispatch: DispatchClient,
+    val announcements: AnnouncementReader,
     val random: Random,
     val counters: ForwardingCounters,
 ) {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -95,7 +95,7 @@
 
     private fun readHandle(response: HttpResponseMessage, place: GrantedPlace, startedAt: Timestamp): RunPart.Decode? {
         val server = place.prefillServer ?: return null
-        val facts = context.protocol.readAnswer(response.head)
+        val facts = readAnswer(server, response.head)
         val handle = if (response.head.status == OK) context.protocol.readPrefillHandle(response.body) else null
         val outcome = when {
             handle != null -> PlaceOutcome.COMPLETED
@@ -110,6 +110,8 @@
         when (end) {
             is CallEnd.NotSent -> endPrefill(place, PlaceOutcome.UNREACHABLE, end.detail, startedAt, 0)
 
+            CallEnd.Withheld -> endPrefill(place, PlaceOutcome.UNUSED, "server must get no requests", startedAt, 0)
+
             is CallEnd.Broken -> {
                 context.dispatch.reportSilence(place, PlacePart.PREFILL)
                 endPrefill(place, PlaceOutcome.BROKEN, end.detail, startedAt, 0)
@@ -294,7 +296,7 @@
 
         override fun onHead(head: ResponseHead) {
             this.head = head
-            facts = context.protocol.readAnswer(head)
+            facts = readAnswer(place.server, head)
             if (facts?.notRun != true) openHandle = null
         }
 
@@ -357,6 +359,8 @@
         private fun resultOf(end: CallEnd): RunEnd = when (end) {
             is CallEnd.NotSent -> notRun(PlaceOutcome.UNREACHABLE, end.detail, received = false)
 
+            CallEnd.Withheld -> notRun(PlaceOutcome.UNUSED, "server must get no requests", received = false)
+
             is CallEnd.Broken -> RunEnd.Broken(end.detail)
 
             is CallEnd.Complete -> when (val verdict = AnswerVerdict.of(head, facts, request.caller.id)) {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
@@ -37,13 +37,16 @@
     /** No byte of the request was sent. */
     data class NotSent(val detail: String) : CallEnd()
 
+    /** No byte of the request was sent, because [ServerCallListener.maySend] did not allow it. */
+    data object Withheld : CallEnd()
+
     /** The request may have been received, and the answer is missing or incomplete. */
     data class Broken(val detail: String) : CallEnd()
 }
 
 /** Receives the parts of an answer, on the event loop. */
 internal interface ServerCallListener {
-    /** Decides immediately before the request is sent whether it still may be; false ends the call as not sent. */
+    /** Decides immediately before the request is sent whether it still may be; false ends the call as withheld. */
     fun maySend(): Boolean = true
 
     /** The head of the answer arrived. */
@@ -93,7 +96,7 @@
         val opened = channel ?: return
         if (ended) return
         if (!listener.maySend()) {
-            end(CallEnd.NotSent("no longer allowed"))
+            end(CallEnd.Withheld)
             return
         }
         val bytes = HeadWriter.request(request.head, request.body, opened.alloc())
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -154,7 +154,7 @@
     }
 
     private fun onFailure(end: CallEnd) = when (end) {
-        is CallEnd.Complete -> Unit
+        CallEnd.Complete, CallEnd.Withheld -> Unit
         is CallEnd.NotSent -> retryLater(end.detail)
         is CallEnd.Broken -> retryLater(end.detail)
     }
--- /dev/null
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerAnnouncementTest.kt
@@ -0,0 +1,250 @@
+/*
+ * Servers that say in their answers that they leave, or that they want no requests for a while.
+ */
+package org.arbutusnotch.forwarding
+
+import org.arbutusnotch.core.forwarding.ServerStage
+import org.arbutusnotch.forwarding.fixture.AnswerWriter
+import org.arbutusnotch.forwarding.fixture.InstanceFixture
+import org.arbutusnotch.forwarding.fixture.ReceivedAnswer
+import org.arbutusnotch.forwarding.fixture.ScriptedServer
+import org.arbutusnotch.forwarding.fixture.awaitUntil
+import org.arbutusnotch.forwarding.fixture.testServer
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isIn
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ServerAnnouncementTest {
+    private val open = mutableListOf<AutoCloseable>()
+
+    @AfterEach
+    fun close() = open.forEach { it.close() }
+
+    private fun server(script: AnswerWriter.() -> Unit) = ScriptedServer(script).also { open += it }
+
+    private fun fixture(vararg servers: Pair<String, ScriptedServer>): InstanceFixture =
+        InstanceFixture(servers = servers.map { (id, server) -> testServer(id, server.address) }).also { open += it }
+
+    private val leaving: AnswerWriter.() -> Unit = { answer(body = "leaving", headers = "leaving: 1\r\n") }
+    private val staying: AnswerWriter.() -> Unit = { answer(body = "staying") }
+
+    private fun pausing(millis: String): AnswerWriter.() -> Unit =
+        { answer(status = "503 Busy", headers = "not-run: 1\r\npause: $millis\r\n") }
+
+    /** Sends [count] calls one after another. */
+    private fun InstanceFixture.calls(count: Int, kind: String = "once"): List<ReceivedAnswer?> =
+        (1..count).map { call("/$kind/x", "call-$it-${System.nanoTime()}") }
+
+    private fun timed(action: () -> Unit): Duration {
+        val start = System.nanoTime()
+        action()
+        return (System.nanoTime() - start).nanoseconds
+    }
+
+    /** Guards against work for a server that leaves, because the store says otherwise or has not heard of it. */
+    @Test
+    fun `server that leaves gets nothing more, whatever its entry says`() {
+        val first = server(leaving)
+        val second = server(staying)
+        val fixture = fixture("a" to first, "b" to second)
+        awaitUntil("the leaving server was used") {
+            fixture.calls(1)
+            first.requests.isNotEmpty()
+        }
+        repeat(3) {
+            fixture.store.put("servers/a", testServer("a", first.address))
+            Thread.sleep(100)
+            expectThat(fixture.calls(4).map { it?.body }).isEqualTo(List(4) { "staying" })
+        }
+        fixture.store.remove("servers/a")
+        fixture.store.put("servers/a", testServer("a", first.address))
+        Thread.sleep(100)
+        expectThat(fixture.calls(4).map { it?.body }).isEqualTo(List(4) { "staying" })
+        expectThat(first.requests).hasSize(1)
+    }
+
+    /** Guards against a server that stays unused for good after it was replaced under its own id. */
+    @Test
+    fun `later start of a server that left is used`() {
+        val first = server(leaving)
+        val later = server(staying)
+        val fixture = fixture("a" to first)
+        fixture.calls(1)
+        fixture.store.put("servers/a", testServer("a", later.address, startedAt = 2))
+        awaitUntil("the later start is used") { fixture.calls(1).single()?.body == "staying" }
+        expectThat(first.requests).hasSize(1)
+    }
+
+    /** Guards against callers that are kept waiting for servers that will never take them. */
+    @Test
+    fun `pool whose servers all leave refuses at once`() {
+        val fixture = fixture("a" to server(leaving), "b" to server(leaving))
+        awaitUntil("both servers left") { fixture.calls(1).single()?.status == 503 }
+        var refused: ReceivedAnswer? = null
+        expectThat(timed { refused = fixture.calls(1).single() }).isLessThan(AT_ONCE)
+        expectThat(refused?.status).isEqualTo(503)
+        expectThat(refused?.header("X-Outcome")).isEqualTo("not_run")
+        expectThat(refused?.header("Retry-After")).isNotNull()
+    }
+
+    /** Guards against requests that were queued before the announcement and are sent after it, or wait in vain. */
+    @Test
+    fun `queued requests do not go to a server that leaves`() {
+        val finishes = CountDownLatch(1)
+        val only = server {
+            finishes.await(5, TimeUnit.SECONDS)
+            leaving()
+        }
+        val fixture = fixture("a" to only)
+        val places = testServer("a", only.address).slots + 1
+        val statuses = java.util.concurrent.ConcurrentLinkedQueue<Int>()
+        val callers = (1..places * 3).map { number ->
+            thread { fixture.call("/once/x", "queued-$number", headers = "wait: 4000\r\n")?.let { statuses += it.status } }
+        }
+        awaitUntil("all places are used") { only.requests.size == places }
+        Thread.sleep(100)
+        finishes.countDown()
+        expectThat(timed { callers.forEach { it.join() } }).isLessThan(1.seconds)
+        expectThat(only.requests).hasSize(places)
+        expectThat(statuses.groupingBy { it }.eachCount()).isEqualTo(mapOf(200 to places, 503 to places * 2))
+    }
+
+    /** Guards against an announcement that counts only when a stream has ended, seconds later. */
+    @Test
+    fun `stream and prefill answers announce at their heads`() {
+        val prefill = server { answer(body = "handle-7", headers = "leaving: 1\r\n") }
+        val finishes = CountDownLatch(1)
+        val decode = server {
+            write(
+                "HTTP/1.1 200 OK\r\nid: ${request.header("id")}\r\nseal: s\r\nleaving: 1\r\n" +
+                    "Transfer-Encoding: chunked\r\n\r\n",
+            )
+            event(1)
+            finishes.await(5, TimeUnit.SECONDS)
+            endOfStream()
+        }
+        val other = server {
+            streamHead()
+            event(1)
+            endOfStream()
+        }
+        val servers = listOf(
+            testServer("p", prefill.address, ServerStage.PREFILL),
+            testServer("d", decode.address, ServerStage.DECODE),
+        )
+        val fixture = InstanceFixture(servers = servers).also { open += it }
+        val stream = thread { fixture.call("/stream/x", "s1", headers = "tokens: 100,10\r\n") }
+        awaitUntil("the stream has begun") { decode.requests.isNotEmpty() }
+        fixture.store.put("servers/e", testServer("e", other.address, ServerStage.DECODE))
+        awaitUntil("the new server is used") {
+            fixture.call("/stream/x", "s-${System.nanoTime()}", headers = "tokens: 100,10\r\n")?.status == 200
+        }
+        repeat(3) { fixture.call("/stream/x", "t$it", headers = "tokens: 100,10\r\n") }
+        expectThat(decode.requests).hasSize(1)
+        expectThat(prefill.requests.filter { !it.firstLine.startsWith("DELETE") }).hasSize(1)
+        finishes.countDown()
+        stream.join()
+    }
+
+    /** Guards against a stream that another server continues and that comes back to one that leaves. */
+    @Test
+    fun `resumed stream does not go to a server that leaves`() {
+        val leavingServer = server {
+            write(
+                "HTTP/1.1 200 OK\r\nid: ${request.header("id")}\r\nseal: s\r\nleaving: 1\r\n" +
+                    "Transfer-Encoding: chunked\r\n\r\n",
+            )
+            event(1)
+            reset()
+        }
+        val servers = listOf(testServer("d", leavingServer.address, ServerStage.DECODE))
+        val fixture = InstanceFixture(servers = servers).also { open += it }
+        fixture.call("/resumable/x", "s1", headers = "tokens: 100,10\r\n")
+        expectThat(fixture.call("/resumable/x", "s2", headers = "tokens: 100,10\r\n")?.status).isEqualTo(503)
+        expectThat(leavingServer.requests).hasSize(1)
+    }
+
+    /** Guards against requests that reach a server within the time for which it wants none. */
+    @Test
+    fun `server that wants no requests gets none until its time is over`() {
+        val busy = server(pausing(millis = "1500"))
+        val free = server(staying)
+        val fixture = fixture("a" to busy, "b" to free)
+        awaitUntil("the busy server was used") {
+            fixture.calls(1)
+            busy.requests.isNotEmpty()
+        }
+        val pause = timed {
+            awaitUntil("the busy server is used again") {
+                expectThat(fixture.calls(1).single()?.status).isEqualTo(200)
+                busy.requests.size > 1
+            }
+        }
+        expectThat(pause).isGreaterThan(1_300.milliseconds)
+    }
+
+    /** Guards against a pause that only new requests know of: those that wait or are granted must not cross it. */
+    @Test
+    fun `requests under way do not cross a pause`() {
+        val finishes = CountDownLatch(1)
+        val busy = server {
+            finishes.await(5, TimeUnit.SECONDS)
+            pausing(millis = "3000")()
+        }
+        val fixture = fixture("a" to busy)
+        val places = testServer("a", busy.address).slots + 1
+        val callers = (1..places * 3).map { number ->
+            thread { fixture.call("/once/x", "queued-$number", headers = "wait: 2000\r\n") }
+        }
+        awaitUntil("all places are used") { busy.requests.size == places }
+        finishes.countDown()
+        callers.forEach { it.join() }
+        expectThat(fixture.calls(3).map { it?.status }).isEqualTo(List(3) { 503 })
+        expectThat(busy.requests).hasSize(places)
+    }
+
+    /** Guards against a refusal that comes late, or that names a time at which nothing has changed. */
+    @Test
+    fun `pool whose servers all pause refuses at once with the soonest time`() {
+        val fixture = fixture("a" to server(pausing("3500")), "b" to server(pausing("2500")))
+        fixture.call("/once/x", "r0", headers = "wait: 1000\r\n")
+        var refused: ReceivedAnswer? = null
+        val waited = timed { refused = fixture.call("/once/x", "r1", headers = "wait: 1000\r\n") }
+        expectThat(waited).isLessThan(AT_ONCE)
+        expectThat(refused?.header("X-Refusal-Reason")).isEqualTo("servers_paused")
+        expectThat(refused?.header("Retry-After")?.toDouble()).isNotNull().isIn(2.0..2.5)
+    }
+
+    @Test
+    fun `request that can wait for the end of a pause does so`() {
+        var answers = 0
+        val fixture = fixture("a" to server { if (answers++ == 0) pausing("600")() else staying() })
+        fixture.calls(1)
+        expectThat(fixture.call("/once/x", "r1", headers = "wait: 3000\r\n")?.body).isEqualTo("staying")
+    }
+
+    @Test
+    fun `pause that cannot be read has no effect`() {
+        val fixture = fixture("a" to server(pausing("soon")))
+        repeat(3) { fixture.call("/once/x", "r$it") }
+        awaitUntil("the server is asked again") { fixture.call("/once/x", "again")?.header("X-Refusal-Reason") != "servers_paused" }
+    }
+
+    private companion object {
+        /** Time within which a request that nobody will take is answered. */
+        val AT_ONCE = 300.milliseconds
+    }
+}
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchServiceTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchServiceTest.kt
@@ -42,6 +42,7 @@
         var service: DispatchService? = null
         val created = DispatchService(
             servers = { listOf(testServer("a", "127.0.0.1:2", pool = "first")) },
+            noteLeaving = { _, _ -> },
             definition = { null },
             newBudget = { RetryBudget() },
             mayOrder = { _, _ -> false },
