Believe an instance whose clock went back before its start

Cause: incarnations come from the time of day. A process that starts after the clock went back has a lower incarnation than the one that its peers remember; they ignore its rows, and it hears of nothing, for as long as it runs. Two dispatchers then stand beside each other. The numbers of stage orders come from the same clock.

Ruled out: incarnations from another source. Nothing of the system lasts, and the store may be away at a start.

Change: a peer answers gossip of a lower incarnation with the row that it knows. The process takes an incarnation above it, which the peers believe. The daemon of the own interface keeps its rule (a process whose address is taken stops), because its permits rest on the incarnation. Orders are numbered above every number that gossip has carried.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
@@ -7,6 +7,7 @@
  */
 package org.arbutusnotch.core.membership
 
+import org.arbutusnotch.core.id.Incarnation
 import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.id.RevisionNumber
@@ -37,6 +38,10 @@
 
     /** A later incarnation runs at the own address; this process must stop serving. */
     public data class OwnAddressTaken(public val current: InstanceId) : MembershipEvent
+
+    /** A later incarnation than the own one was known at the own address; this process is [current] from now on. */
+    public data class IncarnationRaised(public val previous: InstanceId, public val current: InstanceId) :
+        MembershipEvent
 }
 
 /**
@@ -47,12 +52,16 @@
  * @param suspicion time without a heartbeat rise after which an instance is unreachable, in a fleet of at most
  * [ROW_LIMIT] instances; it grows in proportion in a larger one
  * @param removal time without a heartbeat rise after which a row is removed
+ * @param reclaimsAddress whether this process takes an incarnation above one that is known at its own address. Wall
+ * clocks may step back between two starts, so that the process that runs has the lower one. A process that issues
+ * permits under its incarnation must not do so
  */
 public class InstanceTable(
     own: InstanceRow,
     seeds: Collection<InstanceAddress> = emptyList(),
     private val suspicion: Duration = SUSPICION,
     private val removal: Duration = REMOVAL,
+    private val reclaimsAddress: Boolean = false,
 ) {
     private val peers = LinkedHashMap<InstanceAddress, KnownInstance>()
 
@@ -157,6 +166,13 @@
         return listOf(ownRow) + due.map { it.row }
     }
 
+    /**
+     * Returns the known row of a later incarnation at the address of [sender], or null. Sent back, it tells a process
+     * why its own rows are not believed.
+     */
+    public fun laterRowThan(sender: InstanceId): InstanceRow? =
+        peers[sender.address]?.row?.takeIf { it.instance.incarnation > sender.incarnation }
+
     /** Returns the heartbeats of the next gossip message, at most [limit], least recently sent first. */
     public fun heartbeatsToSend(limit: Int = HEARTBEAT_LIMIT): List<HeartbeatRow> {
         val due = peers.values.filter { it.reachable }.sortedBy { it.lastHeartbeatSending }.take(limit)
@@ -195,10 +211,17 @@
     private fun mergeOwn(row: InstanceRow): List<MembershipEvent> {
         val known = successor?.incarnation ?: self.incarnation
         if (row.instance.incarnation <= known) return emptyList()
+        if (reclaimsAddress) return listOf(raiseIncarnation(row.instance.incarnation))
         successor = row.instance
         return listOf(MembershipEvent.OwnAddressTaken(row.instance))
     }
 
+    private fun raiseIncarnation(known: Incarnation): MembershipEvent {
+        val previous = self
+        ownRow = ownRow.copy(instance = InstanceId(previous.address, Incarnation(known.value + 1)))
+        return MembershipEvent.IncarnationRaised(previous, self)
+    }
+
     private fun merge(received: InstanceRow, now: Timestamp): List<MembershipEvent> {
         val known = peers[received.instance.address]
         if (known != null && !isNewer(received, known.row)) return emptyList()
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/PeerMessage.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/PeerMessage.kt
@@ -108,7 +108,11 @@
     @SerialName("w") public val withdrawn: Boolean = false,
 )
 
-/** Carries the newest rows, server summaries and crash reports that the sender knows. */
+/**
+ * Carries the newest rows, server summaries and crash reports that the sender knows.
+ *
+ * @property highestFence highest number of an order to a server that the sender knows of; 0 when there is none
+ */
 @Serializable
 @SerialName("gossip")
 public data class Gossip(
@@ -117,6 +121,7 @@
     public val heartbeats: List<HeartbeatRow> = emptyList(),
     public val summaries: List<ServerSummary> = emptyList(),
     public val quarantined: List<QuarantineEntry> = emptyList(),
+    public val highestFence: Long = 0,
 ) : PeerMessage
 
 /** Acknowledges a message that has no other reply. */
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/InstanceTableTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/InstanceTableTest.kt
@@ -70,6 +70,21 @@
         expectThat(table.ownRow.instance).isEqualTo(idOf(1, 1))
     }
 
+    /** Guards against a process that stops, or is not believed, because the clock went back before its start. */
+    @Test
+    fun `a table that reclaims its address takes an incarnation above the known one`() {
+        val reclaiming = InstanceTable(rowOf(1, incarnation = 5), reclaimsAddress = true)
+        val peer = InstanceTable(rowOf(2))
+        peer.merge(listOf(rowOf(1, incarnation = 9)), start)
+        val later = listOfNotNull(peer.laterRowThan(reclaiming.self))
+        expectThat(reclaiming.merge(later, start))
+            .containsExactly(MembershipEvent.IncarnationRaised(idOf(1, 5), idOf(1, 10)))
+        expectThat(reclaiming.successor).isNull()
+        peer.merge(listOf(reclaiming.ownRow), start)
+        expectThat(peer.find(addressOf(1))?.instance).isEqualTo(idOf(1, 10))
+        expectThat(peer.laterRowThan(reclaiming.self)).isNull()
+    }
+
     @Test
     fun `a row of the own earlier incarnation changes nothing`() {
         expectThat(table.merge(listOf(rowOf(1, incarnation = 0, heartbeat = 99)), start)).isEmpty()
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/MembershipFuzzTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/MembershipFuzzTest.kt
@@ -13,6 +13,7 @@
 import org.arbutusnotch.core.fuzz.ANNOTATED_SEED
 import org.arbutusnotch.core.fuzz.seeded
 import org.arbutusnotch.core.id.InstanceAddress
+import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.message.HeartbeatRow
 import org.arbutusnotch.core.message.InstanceRow
 import org.arbutusnotch.core.time.Timestamp
@@ -29,12 +30,24 @@
         fleet.checkViews()
     }
 
+    /**
+     * Guards against instances that are not believed for the rest of the day, because the time of day went back before
+     * they started again (trial on belfry-ops: 8 to 11 of 21 instances seen by each half).
+     */
+    @Property(seed = ANNOTATED_SEED, edgeCases = EdgeCasesMode.NONE)
+    fun `clocks that step between starts do not split the view`(@ForAll("seeds") seed: Long) {
+        val fleet = GossipingFleet(Random(seed), clocksStep = true)
+        fleet.fail()
+        fleet.settle()
+        fleet.checkViews()
+    }
+
     @Provide
     fun seeds(): Arbitrary<Long> = Arbitraries.longs().withDistribution(RandomDistribution.uniform()).seeded()
 }
 
 /** Runs instances that gossip while messages are lost, delayed and repeated and instances stop, pause and restart. */
-private class GossipingFleet(private val random: Random) {
+private class GossipingFleet(private val random: Random, private val clocksStep: Boolean = false) {
     private val size = random.nextInt(2, MAXIMUM_INSTANCES + 1)
     private val members = MutableList(size) { newTable(it + 1, incarnation = 1) }
     private val stopped = mutableSetOf<Int>()
@@ -87,7 +100,8 @@
         incarnations += 1
         stopped -= index
         paused -= index
-        members[index] = newTable(index + 1, incarnations)
+        val incarnation = if (clocksStep) random.nextLong(1, HIGHEST_INCARNATION) else incarnations
+        members[index] = newTable(index + 1, incarnation)
     }
 
     private fun gossip(index: Int) {
@@ -97,7 +111,7 @@
         val rows = table.rowsToSend()
         check(rows.size <= InstanceTable.ROW_LIMIT && rows.first() == table.ownRow) { "own row missing" }
         val heartbeats = table.heartbeatsToSend()
-        table.gossipTargets(random).forEach { network += Delivery(index, it, rows, heartbeats) }
+        table.gossipTargets(random).forEach { network += Delivery(index, table.self, it, rows, heartbeats) }
     }
 
     private fun deliver(lossPercent: Int) {
@@ -113,18 +127,28 @@
         if (receiver !in running()) return
         members[receiver].merge(delivery.rows, Timestamp(time))
         members[receiver].mergeHeartbeats(delivery.heartbeats, Timestamp(time))
+        if (clocksStep) answer(delivery, receiver)
         if (random.nextInt(100) < REPEATED_PERCENT) network += delivery
     }
 
+    private fun answer(delivery: Delivery, receiver: Int) {
+        val later = members[receiver].laterRowThan(delivery.instance) ?: return
+        network += Delivery(receiver, members[receiver].self, delivery.instance.address, listOf(later), emptyList())
+    }
+
     private fun isCut(sender: Int, receiver: Int) = partitioned && (sender < cutAt) != (receiver < cutAt)
 
     private fun running(): List<Int> = (0 until size).filter { it !in stopped && it !in paused }
 
-    private fun newTable(number: Int, incarnation: Long) =
-        InstanceTable(rowOf(number, incarnation = incarnation), seeds = (1..size).map { addressOf(it) })
+    private fun newTable(number: Int, incarnation: Long) = InstanceTable(
+        own = rowOf(number, incarnation = incarnation),
+        seeds = (1..size).map { addressOf(it) },
+        reclaimsAddress = clocksStep,
+    )
 
     private class Delivery(
         val sender: Int,
+        val instance: InstanceId,
         val receiver: InstanceAddress,
         val rows: List<InstanceRow>,
         val heartbeats: List<HeartbeatRow>,
@@ -136,6 +160,9 @@
         const val SETTLING_ROUNDS = 60
         const val GOSSIP_MILLIS = 250L
         const val CHANGES = 10
+
+        /** Incarnations above the number of restarts, so that most restarts have another order than their numbers. */
+        const val HIGHEST_INCARNATION = 1_000L
         const val DELIVERED_PERCENT = 80
         const val REPEATED_PERCENT = 10
     }
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/ControlEventLog.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/ControlEventLog.kt
@@ -36,6 +36,11 @@
     is MembershipEvent.Removed -> log.info("peer_removed") { field("instance", event.instance) }
 
     is MembershipEvent.OwnAddressTaken -> log.error("own_address_taken") { field("current", event.current) }
+
+    is MembershipEvent.IncarnationRaised -> log.warn("incarnation_raised") {
+        field("previous", event.previous)
+        field("current", event.current)
+    }
 }
 
 private fun logRevision(log: EventLog, event: RevisionEvent) = when (event) {
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/TickSystems.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/control/TickSystems.kt
@@ -91,6 +91,7 @@
             is MembershipEvent.BecameReachable,
             is MembershipEvent.BecameUnreachable,
             is MembershipEvent.OwnAddressTaken,
+            is MembershipEvent.IncarnationRaised,
             -> Unit
         }
         return events
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -63,6 +63,7 @@
 import org.arbutusnotch.forwarding.registry.StoreListener
 import org.arbutusnotch.forwarding.registry.StoreProtocol
 import org.arbutusnotch.forwarding.registry.StoreSnapshot
+import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.telemetry.EventLog
 import org.arbutusnotch.telemetry.MonotonicClock
 import java.util.concurrent.CountDownLatch
@@ -83,15 +84,16 @@
 /**
  * Runs one instance.
  *
+ * @param clock tells the time; it must not step while the process runs
  * @param readSeeds reads the seeds of the settings again; they may change while the process runs
  */
 public class ForwardingInstance(
     private val settings: ForwardingSettings,
     private val protocols: Protocols,
+    private val clock: Clock = MonotonicClock(),
     private val readSeeds: () -> List<InstanceAddress>?,
 ) {
     private val log = EventLog("instance")
-    private val clock = MonotonicClock()
     private val random = Random(System.nanoTime())
     private val group: EventLoopGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
@@ -333,7 +335,7 @@
 
     private fun orderStage(change: StageChange, onNotSent: () -> Unit) {
         val server = change.server
-        val fence = clock.now().epochMillis
+        val fence = membership.nextFence(clock.now())
         val order = protocols.forwarding.stageOrder(server.id, change.stage, self.address.value, fence)
         log.info("stage_ordered") {
             field("server", server.id)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
@@ -5,6 +5,7 @@
 
 import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.InstanceId
+import org.arbutusnotch.core.membership.FenceSequence
 import org.arbutusnotch.core.membership.InstanceTable
 import org.arbutusnotch.core.membership.InstanceView
 import org.arbutusnotch.core.membership.MembershipEvent
@@ -19,7 +20,8 @@
 
 internal class Membership(own: InstanceRow, private val link: PeerLink, private val random: Random) {
     private val log = EventLog("membership")
-    private val table = InstanceTable(own)
+    private val table = InstanceTable(own, reclaimsAddress = true)
+    private val fences = FenceSequence()
     private var nextGossip = Timestamp(0)
     private var hurriedGossips = HURRIED_GOSSIPS
     private var gossips = 0L
@@ -57,8 +59,13 @@
     fun onGossip(gossip: Gossip, now: Timestamp) {
         report(table.merge(gossip.rows, now))
         report(table.mergeHeartbeats(gossip.heartbeats, now))
+        fences.observe(gossip.highestFence)
+        table.laterRowThan(gossip.sender)?.let { link.send(gossip.sender.address, Gossip(self, listOf(it))) }
     }
 
+    /** Returns the number of an order to a server that is given at [now]. */
+    fun nextFence(now: Timestamp): Long = fences.next(now)
+
     fun tick(now: Timestamp) {
         report(table.tick(now))
         if (now < nextGossip) return
@@ -66,7 +73,7 @@
         if (hurried) hurriedGossips--
         nextGossip = now + if (hurried) HURRIED_INTERVAL else INTERVAL
         table.beat()
-        val gossip = Gossip(table.self, table.rowsToSend(), table.heartbeatsToSend())
+        val gossip = Gossip(self, table.rowsToSend(), table.heartbeatsToSend(), highestFence = fences.highest)
         gossips += 1
         val far = if (hurried || gossips % FAR_EVERY == 0L) 1 else 0
         table.gossipTargets(random, near = 1, far = far).forEach { link.send(it, gossip) }
@@ -88,6 +95,7 @@
         is MembershipEvent.Replaced -> event.current
         is MembershipEvent.Removed -> event.instance
         is MembershipEvent.OwnAddressTaken -> event.current
+        is MembershipEvent.IncarnationRaised -> event.current
     }
 
     private companion object {
--- a/arbutusnotch-telemetry/src/main/kotlin/org/arbutusnotch/telemetry/MonotonicClock.kt
+++ b/arbutusnotch-telemetry/src/main/kotlin/org/arbutusnotch/telemetry/MonotonicClock.kt
@@ -11,9 +11,8 @@
     public fun now(): Timestamp
 }
 
-/** Implements [Clock] by monotonic time on top of the wall clock at construction. */
-public class MonotonicClock : Clock {
-    private val startEpochMillis = System.currentTimeMillis()
+/** Implements [Clock] by monotonic time on top of [startEpochMillis], the wall clock at construction. */
+public class MonotonicClock(private val startEpochMillis: Long = System.currentTimeMillis()) : Clock {
     private val startNanos = System.nanoTime()
 
     override fun now(): Timestamp = Timestamp(startEpochMillis + (System.nanoTime() - startNanos) / NANOS_PER_MILLI)
