Bound every part of an answer that has no end

Cause: blank lines, interim answers and small chunks with long extensions were read without a limit; an event of a stream was kept without one, and each call kept up to 8 MiB, so that twenty servers in trouble could end the process. A stream that sent bytes and no events lasted until its caller's deadline.

Ruled out: a smaller limit for one answer alone. Many answers at once still add up, and answers of a store are large.

Change: AnswerMemory shares 12 MiB between all answers that are kept; the largest is given up first, so that sound servers are served beside endless ones. Bytes beside the content are limited to 256 KiB more than the content. An event of more than 64 KiB and a stream without an event for its caller's patience (0.7 of it where another server may go on) are broken off. A caller that does not read stops that clock and holds the server back.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -62,7 +62,7 @@
         return known.getOrNull(known.size / 2)
     }
 
-    /** Returns the servers that may take [entry] at [now], as far as their health and their own wishes are concerned. */
+    /** Returns the servers that are healthy enough to take [entry] at [now] and want requests of its holder. */
     protected fun takers(entry: WaitingRequest, now: Timestamp): List<ServerLedger> {
         val stages = ledgers.values.groupBy { it.server.stage }
             .mapValues { (stage, servers) -> StageHealth(stage, servers, entry.domain, now) }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
@@ -50,7 +50,7 @@
         expectThat(fixture.release(running[1]).granted().single().ticket).isEqualTo(late.ticket)
     }
 
-    /** Guards against a pause that one holder was asked for and that binds all of them, and against one that is ignored. */
+    /** Guards against a pause that binds other holders than the one that was asked for it, or none. */
     @Test
     fun `paused server takes calls of other holders only`() {
         val fixture = DispatchFixture(listOf(server("a"), server("b")))
@@ -73,7 +73,12 @@
         val waiting = fixture.request(DispatchWork.Call, begin = 1.seconds)
         fixture.submit(waiting)
         val until = fixture.now + 1_500.milliseconds
-        val refused = fixture.dispatcher.pause(BackendServerId("a"), DispatchFixture.HOLDER, until, fixture.now).refused()
+        val refused = fixture.dispatcher.pause(
+            BackendServerId("a"),
+            DispatchFixture.HOLDER,
+            until,
+            fixture.now,
+        ).refused()
         expectThat(refused.map { it.ticket to it.reason })
             .isEqualTo(listOf(waiting.ticket to DispatchRefusal.SERVERS_PAUSED))
         expectThat(refused.single().retryAfter).isEqualTo(1_500.milliseconds)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -15,6 +15,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import org.arbutusnotch.core.dispatch.StageChange
+import org.arbutusnotch.core.forwarding.AnswerMemory
 import org.arbutusnotch.core.forwarding.CallerLimits
 import org.arbutusnotch.core.forwarding.RouteTable
 import org.arbutusnotch.core.forwarding.ServerRegistry
@@ -102,6 +103,7 @@
     private val link = PeerLink(settings.peerAddress, group)
     private val membership = Membership(ownRow(), link, random)
     private val registry = ServerRegistry(settings.drainTime * REMOVED_SHARE, TROUBLED_GRACE)
+    private val answerMemory = AnswerMemory(ANSWER_MEMORY)
     private val published = PublishedState(protocols.items, clock, registry) { onRoutes(it) }
     private val routeFollower = follower(protocols.items.routePrefix, published.routeListener)
     private val serverFollower = follower(protocols.items.serverPrefix, published.serverListener)
@@ -138,6 +140,7 @@
         announcements = announcements,
         random = random,
         counters = counters,
+        answerMemory = answerMemory,
     )
     private val front = endpoint(settings.frontAddress, FrontHandler(context) { published.routes })
     private val others = listOf(
@@ -211,6 +214,7 @@
         clock = clock,
         random = random,
         listener = listener,
+        memory = answerMemory,
     )
 
     private fun endpoint(address: String, handler: RequestHandler) =
@@ -306,7 +310,7 @@
         val peer = peers.filter { it.row.inForce?.revision?.value == newest }.random(random)
         val head =
             RequestHead("GET", ControlHandler.SNAPSHOT_PATH, listOf(HeaderField("Host", peer.row.operatorAddress)))
-        SingleCall(HttpRequestMessage(head, ByteArray(0)), PEER_TIME, PEER_TIME) { result ->
+        SingleCall(HttpRequestMessage(head, ByteArray(0)), PEER_TIME, PEER_TIME, answerMemory) { result ->
             result.fold(
                 success = { adopt(it.body, peer.address) },
                 failure = { end ->
@@ -343,7 +347,7 @@
             field("stage", change.stage)
         }
         val mayOrder = { registry.findUsable(server.id, clock.now()) != null }
-        SingleCall(order, ORDER_TIME, ORDER_TIME, maySend = mayOrder) { result ->
+        SingleCall(order, ORDER_TIME, ORDER_TIME, answerMemory, maySend = mayOrder) { result ->
             result.onOk { announcements.read(server, protocols.forwarding.readAnswer(it.head)) }
             log.info("stage_order_ended") {
                 field("server", server.id)
@@ -412,6 +416,12 @@
         val PEER_FETCH = 600.milliseconds
         val PEER_TIME = 500.milliseconds
 
+        /**
+         * Bytes of all answers that are kept at a time. Joining the parts of one and passing it on take as much again,
+         * and the whole must fit into the heap of a small instance.
+         */
+        const val ANSWER_MEMORY = 12 * 1_024 * 1_024
+
         /** Share of the drain time for which a server whose entry disappeared still gets work. */
         const val REMOVED_SHARE = 0.6
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/AnnouncementReader.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/AnnouncementReader.kt
@@ -29,7 +29,7 @@
     private val log = EventLog("announcements")
     private val unreadable = HashSet<BackendServerId>()
 
-    /** Takes over what [server] said in its answer [facts]; [request] is the request that it answered, if there is one. */
+    /** Takes over what [server] said in the answer that [facts] describes; [request] is what it answered. */
     fun read(server: BackendServer, facts: ServerAnswer, request: RequestId? = null) {
         if (facts.leaving) noteLeaving(server, request)
         when (val pause = facts.pause) {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -93,7 +93,7 @@
 
     private inner class Attempt(val place: GrantedPlace) : ServerCallListener {
         private val startedAt: Timestamp = context.now()
-        private val body = CollectedBody(MAXIMUM_COLLECTED_BYTES)
+        private val body = newBody { onGivenUp(it) }
         private var call: ServerCall? = null
         private var head: ResponseHead? = null
         private var facts: ServerAnswer? = null
@@ -141,11 +141,12 @@
             facts = readAnswer(place.server, head)
         }
 
-        override fun onPart(content: ByteBuf) {
-            body.add(content)
-            if (!body.isTooLarge || over) return
+        override fun onPart(content: ByteBuf): Unit = body.add(content)
+
+        private fun onGivenUp(reason: String) {
+            if (over) return
             call?.cancel()
-            end(AttemptResult.Unknown(body.fault()))
+            end(AttemptResult.Unknown(reason))
         }
 
         override fun onEnd(end: CallEnd) {
@@ -168,7 +169,7 @@
             is CallEnd.Broken -> AttemptResult.Unknown(end.detail)
 
             is CallEnd.Complete -> when (val verdict = AnswerVerdict.of(head, facts, request.caller.id)) {
-                is AnswerVerdict.Valid -> AttemptResult.Answered(verdict.head, body.bytes())
+                is AnswerVerdict.Valid -> AttemptResult.Answered(verdict.head, body)
                 is AnswerVerdict.NotRun -> notRun(PlaceOutcome.NOT_RUN, verdict.detail, received = true)
                 is AnswerVerdict.Invalid -> AttemptResult.Unknown(verdict.detail)
             }
@@ -224,7 +225,7 @@
     abstract val detail: String
 
     /** The server answered completely. */
-    class Answered(val head: ResponseHead, val body: ByteArray) : AttemptResult() {
+    class Answered(val head: ResponseHead, val body: CollectedBody) : AttemptResult() {
         override val detail: String = "status ${head.status}"
         override val outcome: PlaceOutcome =
             if (head.status >= SERVER_ERROR) PlaceOutcome.SERVER_FAILED else PlaceOutcome.COMPLETED
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/EventRelay.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/EventRelay.kt
@@ -14,6 +14,8 @@
 /**
  * Follows the events of one answer.
  *
+ * An event that grows beyond [MAXIMUM_EVENT_BYTES] is a fault of the server; [isTooLarge] then says so.
+ *
  * @param wholeEvents whether an incomplete event is held back until the rest of it arrives
  */
 internal class EventRelay(private val wholeEvents: Boolean) {
@@ -25,6 +27,14 @@
     var lastIdentifier: String? = null
         private set
 
+    /** Whether an event is larger than any that a sound server sends. */
+    val isTooLarge: Boolean
+        get() = keptBytes > MAXIMUM_EVENT_BYTES
+
+    /** Bytes that are kept until the rest of their event arrives. */
+    val keptBytes: Int
+        get() = maxOf(line.size(), event.size())
+
     /** Number of whole events. */
     var events: Int = 0
         private set
@@ -33,6 +43,7 @@
     fun pass(content: ByteBuf): ByteBuf {
         val passed = if (wholeEvents) ByteArrayOutputStream() else null
         for (index in content.readerIndex() until content.writerIndex()) {
+            if (isTooLarge) break
             val byte = content.getByte(index).toInt()
             event.write(byte)
             if (byte != LINE_FEED) {
@@ -42,10 +53,7 @@
                 event.reset()
             }
         }
-        if (passed == null) {
-            event.reset()
-            return content
-        }
+        if (passed == null) return content
         content.release()
         return Unpooled.wrappedBuffer(passed.toByteArray())
     }
@@ -74,8 +82,10 @@
         return true
     }
 
-    private companion object {
-        const val LINE_FEED = '\n'.code
-        const val IDENTIFIER = "id:"
+    internal companion object {
+        /** Bytes of one event that are accepted: a thousand times those of a usual one, which carries a few tokens. */
+        const val MAXIMUM_EVENT_BYTES = 65_536
+        private const val LINE_FEED = '\n'.code
+        private const val IDENTIFIER = "id:"
     }
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -21,6 +21,7 @@
 import org.arbutusnotch.forwarding.dispatch.PlaceAnswer
 import org.arbutusnotch.forwarding.dispatch.PlaceQuestion
 import org.arbutusnotch.forwarding.http.CallerDeparture
+import org.arbutusnotch.forwarding.http.CollectedBody
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
 import org.arbutusnotch.forwarding.http.Responder
 import org.arbutusnotch.forwarding.http.ResponseHead
@@ -47,7 +48,13 @@
     protected val deadlineAt: Timestamp =
         receivedAt + minOf(request.caller.remaining ?: request.route.timeLimit, request.route.timeLimit)
     private val objectiveAt: Timestamp = receivedAt + request.route.objective
-    private val beginBy: Timestamp = receivedAt + minOf(deadlineAt - receivedAt, patience()) * WAITING_SHARE
+
+    /** Time without progress after which the caller leaves. */
+    protected val patience: Duration = when (val kind = request.route.kind) {
+        is RouteKind.Generation -> kind.patience
+        RouteKind.IdempotentCall, RouteKind.SingleRunCall -> deadlineAt - receivedAt
+    }
+    private val beginBy: Timestamp = receivedAt + minOf(deadlineAt - receivedAt, patience) * WAITING_SHARE
     private var ticket: TicketId? = null
     private var cancelDeadline: () -> Unit = {}
 
@@ -67,6 +74,9 @@
     protected var finished: Boolean = false
         private set
 
+    /** Answers that are kept in memory. */
+    private val bodies = mutableListOf<CollectedBody>()
+
     fun start() {
         cancelDeadline = context.at(deadlineAt) { if (!finished) onDeadline() }
         ask(repeated = false)
@@ -93,11 +103,6 @@
         if (!answeredAtOnce) ticket = asked
     }
 
-    private fun patience(): Duration = when (val kind = request.route.kind) {
-        is RouteKind.Generation -> kind.patience
-        RouteKind.IdempotentCall, RouteKind.SingleRunCall -> deadlineAt - receivedAt
-    }
-
     private fun onAnswer(answer: PlaceAnswer) {
         when (answer) {
             is PlaceAnswer.Granted -> {
@@ -176,18 +181,25 @@
         responder.send(OwnAnswers.failure(status, reason), ByteArray(0))
     }
 
-    /** Passes on a complete answer of a server. */
-    protected fun deliver(head: ResponseHead, body: ByteArray) {
+    /** Passes on a complete answer of a server; its memory is free when the caller has taken it. */
+    protected fun deliver(head: ResponseHead, body: CollectedBody) {
         if (finished) return
+        val bytes = body.bytes()
+        bodies -= body
         finish("answered", head.status.toString())
-        responder.send(OwnAnswers.passedOn(head), body)
+        responder.send(OwnAnswers.passedOn(head), bytes, onTaken = { body.discard() })
     }
 
+    /** Returns an empty body for an answer; [onGivenUp] is called if it grows too large. */
+    protected fun newBody(onGivenUp: (String) -> Unit): CollectedBody =
+        CollectedBody(MAXIMUM_COLLECTED_BYTES, context.answerMemory, onGivenUp).also { bodies += it }
+
     /** Ends the exchange, which has sent its final answer or is about to. */
     protected fun finish(outcome: String, reason: String) {
         if (finished) return
         finished = true
         cancelDeadline()
+        bodies.forEach { it.discard() }
         ticket?.let { context.dispatch.withdraw(it) }
         val elapsed = context.now() - receivedAt
         context.counters.ended(outcome, reason, elapsed)
@@ -223,11 +235,8 @@
     }
 
     protected companion object {
-        /**
-         * Bytes of one answer that are kept in memory before it is passed on: twice what callers may send, and a sixth
-         * of the memory of a small instance.
-         */
-        const val MAXIMUM_COLLECTED_BYTES: Int = 8 * 1_024 * 1_024
+        /** Bytes of one answer that are kept in memory before it is passed on: as many as callers may send. */
+        const val MAXIMUM_COLLECTED_BYTES: Int = 4 * 1_024 * 1_024
 
         /** Time to connect to a backend server: many round trips, and less than a repeated opening packet takes. */
         val CONNECT_TIME: Duration = 400.milliseconds
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
@@ -4,6 +4,7 @@
 package org.arbutusnotch.forwarding.exchange
 
 import io.netty.channel.EventLoopGroup
+import org.arbutusnotch.core.forwarding.AnswerMemory
 import org.arbutusnotch.core.forwarding.ServerRegistry
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.forwarding.ForwardingProtocol
@@ -24,6 +25,7 @@
     val announcements: AnnouncementReader,
     val random: Random,
     val counters: ForwardingCounters,
+    val answerMemory: AnswerMemory,
 ) {
     fun now(): Timestamp = clock.now()
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -8,6 +8,7 @@
 
 import com.github.michaelbull.result.fold
 import io.netty.buffer.ByteBuf
+import org.arbutusnotch.core.forwarding.KeptAnswer
 import org.arbutusnotch.core.message.DispatchRefusal
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.message.PlaceOutcome
@@ -48,6 +49,12 @@
     private val resumable = request.route.kind.idempotent
     private val relay = EventRelay(wholeEvents = resumable)
 
+    /**
+     * Time without an event after which a stream has stalled. Its caller leaves then; another server that continues
+     * the stream must send its first event before.
+     */
+    private val pauseLimit: Duration = patience * if (resumable) WAITING_SHARE else 1.0
+
     /** A prompt that was read and whose memory was not taken yet. */
     private var openHandle: RunPart.Decode? = null
 
@@ -78,6 +85,8 @@
             request = HttpRequestMessage(head, request.message.body),
             connectTime = CONNECT_TIME,
             answerTime = minOf(remaining, PREFILL_TIME + PREFILL_TIME_PER_TOKEN * request.caller.promptTokens),
+            memory = context.answerMemory,
+            maximumBytes = MAXIMUM_PREFILL_ANSWER,
             maySend = { context.registry.findUsable(server.id, context.now()) != null },
         ) { result ->
             prefill = null
@@ -156,7 +165,7 @@
         val server = place?.prefillServer ?: return
         openHandle = null
         val free = context.protocol.freeHandle(server.id, handle.handle)
-        SingleCall(free, CONNECT_TIME, FREE_TIME) { result ->
+        SingleCall(free, CONNECT_TIME, FREE_TIME, context.answerMemory) { result ->
             result.fold(
                 success = {},
                 failure = { end ->
@@ -249,13 +258,18 @@
 
     private inner class Run(val place: GrantedPlace, val part: RunPart) : ServerCallListener {
         private val startedAt: Timestamp = context.now()
-        private val body = CollectedBody(MAXIMUM_COLLECTED_BYTES)
+        private val body = newBody { giveUp(it) }
         private var call: ServerCall? = null
         private var head: ResponseHead? = null
         private var facts: ServerAnswer? = null
         private var first: Duration = Duration.ZERO
         private var over = false
         private var cancelSilence: () -> Unit = {}
+        private var cancelWatch: () -> Unit = {}
+        private var readingPaused = false
+
+        /** Time of the latest event, or of the head while there is none. */
+        private var progressAt: Timestamp = startedAt
 
         private val server = place.server
 
@@ -297,6 +311,8 @@
         override fun onHead(head: ResponseHead) {
             this.head = head
             facts = readAnswer(place.server, head)
+            progressAt = context.now()
+            if (streams) watchProgress()
             if (facts?.notRun != true) openHandle = null
         }
 
@@ -307,25 +323,56 @@
         override fun onPart(content: ByteBuf) {
             val received = head
             if (!streams || received == null) {
-                collect(content)
+                body.add(content)
                 return
             }
             if (first == Duration.ZERO) first = context.now() - startedAt
             if (!begun) begin(received)
+            val events = relay.events
             responder.sendPart(relay.pass(content))
-            if (!responder.isWritable) call?.setReading(false)
+            if (relay.events > events) progressAt = context.now()
+            if (!context.answerMemory.resize(keptEvent, relay.keptBytes)) return giveUp("no memory for an event")
+            if (relay.isTooLarge) return giveUp("event of more than ${EventRelay.MAXIMUM_EVENT_BYTES} bytes")
+            if (!responder.isWritable) pauseReading()
         }
 
-        private fun collect(content: ByteBuf) {
-            body.add(content)
-            if (!body.isTooLarge || over) return
+        private val keptEvent = KeptAnswer { giveUp("no memory for an event") }
+
+        /** Ends an answer that cannot be kept. */
+        private fun giveUp(reason: String) {
+            if (over) return
             call?.cancel()
-            end(RunEnd.Broken(body.fault()))
+            end(RunEnd.Broken(reason))
+        }
+
+        private fun pauseReading() {
+            readingPaused = true
+            call?.setReading(false)
+        }
+
+        private fun resumeReading() {
+            readingPaused = false
+            progressAt = context.now()
+            call?.setReading(true)
+        }
+
+        /** Watches for a stream that stalls, whatever bytes come: only events count. A slow caller stops the clock. */
+        private fun watchProgress() {
+            cancelWatch = context.at(progressAt + pauseLimit) {
+                val stalled = !readingPaused && context.now() >= progressAt + pauseLimit
+                if (stalled &&
+                    !over
+                ) {
+                    giveUp("no event for ${pauseLimit.inWholeMilliseconds} ms")
+                } else if (!over) {
+                    watchProgress()
+                }
+            }
         }
 
         private fun begin(received: ResponseHead) {
             begun = true
-            responder.onWritable = { call?.setReading(true) }
+            responder.onWritable = { resumeReading() }
             val length = if (resumable) null else received.header("content-length")?.toLongOrNull()
             responder.begin(OwnAnswers.passedOn(received), length)
         }
@@ -337,6 +384,8 @@
         private fun end(result: RunEnd) {
             over = true
             cancelSilence()
+            cancelWatch()
+            context.answerMemory.forget(keptEvent)
             val outcome = outcomeOf(result)
             logAttempt(server.id, "run", outcome.name.lowercase(), result.detail, startedAt)
             if (result is RunEnd.Completed) {
@@ -364,7 +413,7 @@
             is CallEnd.Broken -> RunEnd.Broken(end.detail)
 
             is CallEnd.Complete -> when (val verdict = AnswerVerdict.of(head, facts, request.caller.id)) {
-                is AnswerVerdict.Valid -> RunEnd.Completed(verdict.head, body.bytes(), describe(verdict.head))
+                is AnswerVerdict.Valid -> RunEnd.Completed(verdict.head, body, describe(verdict.head))
                 is AnswerVerdict.NotRun -> notRun(PlaceOutcome.NOT_RUN, verdict.detail, received = true)
                 is AnswerVerdict.Invalid -> RunEnd.Broken(verdict.detail)
             }
@@ -382,6 +431,8 @@
         fun stop() {
             over = true
             cancelSilence()
+            cancelWatch()
+            context.answerMemory.forget(keptEvent)
             call?.cancel()
         }
     }
@@ -389,7 +440,7 @@
     private sealed class RunEnd {
         abstract val detail: String
 
-        class Completed(val head: ResponseHead, val body: ByteArray, override val detail: String) : RunEnd()
+        class Completed(val head: ResponseHead, val body: CollectedBody, override val detail: String) : RunEnd()
 
         class NotRun(val outcome: PlaceOutcome, override val detail: String, val received: Boolean) : RunEnd()
 
@@ -402,6 +453,9 @@
         /** Servers that may receive the run of one request, those that reject it included. */
         const val MAXIMUM_ARRIVALS = 3
 
+        /** Bytes of the answer to a prompt that was read; it holds a handle and a few numbers. */
+        const val MAXIMUM_PREFILL_ANSWER = 65_536
+
         /** Time for a prompt of no tokens, and for each token: four times what a free server needs. */
         val PREFILL_TIME = 400.milliseconds
         val PREFILL_TIME_PER_TOKEN = 120.microseconds
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
@@ -33,8 +33,8 @@
     /** Is called when [isWritable] becomes true again. */
     public var onWritable: () -> Unit
 
-    /** Sends a complete answer. */
-    public fun send(head: ResponseHead, body: ByteArray)
+    /** Sends a complete answer; [onTaken] is called when the connection has taken it or has ended. */
+    public fun send(head: ResponseHead, body: ByteArray, onTaken: () -> Unit = {})
 
     /** Begins an answer whose body follows; [length] is null when it is not known. */
     public fun begin(head: ResponseHead, length: Long?)
@@ -230,13 +230,14 @@
         private val closesConnection: Boolean
             get() = closes || closesAfterAnswer
 
-        override fun send(head: ResponseHead, body: ByteArray) {
-            if (current !== this) return
+        override fun send(head: ResponseHead, body: ByteArray, onTaken: () -> Unit) {
+            val channel = context
+            if (current !== this || channel == null) return onTaken()
             val close = closesConnection
             val lengths = listOf(HeaderField("Content-Length", body.size.toString()))
             val framed = head.copy(headers = head.headers + lengths + connectionHeaders(close))
             val bytes = HeadWriter.response(framed, allocator)
-            context?.writeAndFlush(bytes.writeBytes(body))
+            channel.writeAndFlush(bytes.writeBytes(body)).addListener { onTaken() }
             finish(this, close)
         }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
@@ -68,6 +68,8 @@
     private var ended = false
     private var failure: String? = null
     private var answered = false
+    private var receivedBytes = 0L
+    private var contentBytes = 0L
 
     /** Connects to [address] and sends the request. */
     fun start(address: InetSocketAddress, group: EventLoopGroup) {
@@ -82,7 +84,11 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTime.inWholeMilliseconds.toInt())
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(opened: SocketChannel) {
-                    opened.pipeline().addLast(AnswerDecoder(isHead = request.head.method == "HEAD"), Receiver())
+                    opened.pipeline().addLast(
+                        ArrivalCount(),
+                        AnswerDecoder(isHead = request.head.method == "HEAD"),
+                        Receiver(),
+                    )
                 }
             })
             .connect(address)
@@ -125,6 +131,20 @@
 
     private fun describe(cause: Throwable?): String = cause?.message ?: cause?.javaClass?.simpleName ?: "unknown"
 
+    /**
+     * Ends an answer that consists of anything but content: blank lines, interim answers, header lines and framing may
+     * come without an end, and the decoder limits only some of them.
+     */
+    private inner class ArrivalCount : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            receivedBytes += (message as? ByteBuf)?.readableBytes() ?: 0
+            context.fireChannelRead(message)
+            val overhead = receivedBytes - contentBytes
+            val limit = MAXIMUM_OVERHEAD + contentBytes
+            if (overhead > limit) end(CallEnd.Broken("answer of $overhead bytes beside its content"))
+        }
+    }
+
     private inner class Receiver : ChannelInboundHandlerAdapter() {
         private var interim = false
 
@@ -152,6 +172,7 @@
 
         private fun receiveContent(content: HttpContent) {
             val last = content is LastHttpContent
+            contentBytes += content.content().readableBytes()
             if (interim || ended || !answered) {
                 content.release()
                 return
@@ -180,6 +201,9 @@
     private companion object {
         const val FIRST_FINAL_STATUS = 200
 
+        /** Bytes of an answer that may arrive beyond its content and as many again: four times the largest head. */
+        const val MAXIMUM_OVERHEAD = 262_144
+
         /** Idle time before the first probe, and between probes: a silent connection is found after three seconds. */
         const val KEEPALIVE_SECONDS = 1
         const val KEEPALIVE_PROBES = 2
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/SingleCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/SingleCall.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.Result
 import io.netty.buffer.ByteBuf
 import io.netty.channel.EventLoopGroup
+import org.arbutusnotch.core.forwarding.AnswerMemory
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -17,6 +18,7 @@
  *
  * @param connectTime time to connect
  * @param answerTime time until the answer must be complete
+ * @param memory memory that all answers of the instance share
  * @param maximumBytes size above which the answer is given up
  * @param maySend decides immediately before the request is sent whether it still may be
  */
@@ -24,12 +26,13 @@
     private val request: HttpRequestMessage,
     private val connectTime: Duration,
     private val answerTime: Duration,
+    memory: AnswerMemory,
     maximumBytes: Int = DEFAULT_MAXIMUM_BYTES,
     private val maySend: () -> Boolean = { true },
     private val onResult: (Result<HttpResponseMessage, CallEnd>) -> Unit,
 ) : ServerCallListener {
     private val call = ServerCall(request, connectTime, this)
-    private val body = CollectedBody(maximumBytes)
+    private val body = CollectedBody(maximumBytes, memory) { giveUp(it) }
     private var head: ResponseHead? = null
     private var done = false
 
@@ -40,6 +43,7 @@
 
     fun cancel() {
         done = true
+        body.discard()
         call.cancel()
     }
 
@@ -52,6 +56,7 @@
     private fun finish(result: Result<HttpResponseMessage, CallEnd>) {
         if (done) return
         done = true
+        body.discard()
         onResult(result)
     }
 
@@ -61,10 +66,7 @@
         this.head = head
     }
 
-    override fun onPart(content: ByteBuf) {
-        body.add(content)
-        if (body.isTooLarge) giveUp(body.fault())
-    }
+    override fun onPart(content: ByteBuf): Unit = body.add(content)
 
     override fun onEnd(end: CallEnd) {
         val received = head
@@ -76,6 +78,7 @@
     }
 
     private companion object {
+        /** Largest answer of the store, with room for values of the largest size in their encoded form. */
         const val DEFAULT_MAXIMUM_BYTES = 4 * 1_024 * 1_024
     }
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -8,6 +8,7 @@
 
 import com.github.michaelbull.result.fold
 import io.netty.channel.EventLoopGroup
+import org.arbutusnotch.core.forwarding.AnswerMemory
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.forwarding.http.CallEnd
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
@@ -42,6 +43,7 @@
     private val clock: Clock,
     private val random: Random,
     private val listener: StoreListener,
+    private val memory: AnswerMemory,
 ) {
     private val log = EventLog("store")
     private val items = LinkedHashMap<String, StoreItem>()
@@ -129,7 +131,7 @@
     }
 
     private fun call(request: HttpRequestMessage, time: Duration, onAnswer: (HttpResponseMessage) -> Unit) {
-        val call = SingleCall(request, CONNECT_TIME, time) { result ->
+        val call = SingleCall(request, CONNECT_TIME, time, memory) { result ->
             result.fold(success = { onResponse(it, onAnswer) }, failure = { onFailure(it) })
         }
         current = call
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerAnnouncementTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerAnnouncementTest.kt
@@ -112,7 +112,9 @@
         val places = testServer("a", only.address).slots + 1
         val statuses = java.util.concurrent.ConcurrentLinkedQueue<Int>()
         val callers = (1..places * 3).map { number ->
-            thread { fixture.call("/once/x", "queued-$number", headers = "wait: 4000\r\n")?.let { statuses += it.status } }
+            thread {
+                fixture.call("/once/x", "queued-$number", headers = "wait: 4000\r\n")?.let { statuses += it.status }
+            }
         }
         awaitUntil("all places are used") { only.requests.size == places }
         Thread.sleep(100)
@@ -240,7 +242,10 @@
     fun `pause that cannot be read has no effect`() {
         val fixture = fixture("a" to server(pausing("soon")))
         repeat(3) { fixture.call("/once/x", "r$it") }
-        awaitUntil("the server is asked again") { fixture.call("/once/x", "again")?.header("X-Refusal-Reason") != "servers_paused" }
+        awaitUntil("the server is asked again") {
+            fixture.call("/once/x", "again")?.header("X-Refusal-Reason") !=
+                "servers_paused"
+        }
     }
 
     private companion object {
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreFollowerTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreFollowerTest.kt
@@ -5,6 +5,7 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import org.arbutusnotch.core.forwarding.AnswerMemory
 import org.arbutusnotch.forwarding.fixture.StandInStore
 import org.arbutusnotch.forwarding.fixture.awaitUntil
 import org.arbutusnotch.forwarding.http.socketAddress
@@ -41,7 +42,16 @@
             val listener = Listener()
             val address = socketAddress(store.address)
             store.silent = true
-            StoreFollower("servers/", address, store.protocol, group, MonotonicClock(), Random(1), listener).start()
+            StoreFollower(
+                "servers/",
+                address,
+                store.protocol,
+                group,
+                MonotonicClock(),
+                Random(1),
+                listener,
+                AnswerMemory(1_000_000),
+            ).start()
             awaitUntil("a call is lost") { store.lostCalls > 0 }
             store.silent = false
             val since = TimeSource.Monotonic.markNow()
