Continue streams that break late, and fill engine memory by forecast

At the crest the decode servers held 11 runs each while their memory was not full: each run counted with 0.7 of its output for as long as it lasted.

Ruled out: a smaller fixed share of the output.

Change: a stream that has begun is wanted until its caller leaves after the latest event, and before requests that have not begun.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -141,6 +141,8 @@
             holder = holder,
             tokens = held.tokens,
             outputTokens = 0,
+            // How far the run has come is not known, so that it is counted with its memory at the end.
+            memory = MemoryUse(held.tokens, outputTokens = 0, now).takeIf { held.part == PlacePart.RUN && held.tokens > 0 },
             readingUntil = null,
             tokensAhead = 0,
             grantedAt = now,
@@ -208,7 +210,7 @@
         val runners = runners(entry)
         return when {
             ledgers.keys.none { it !in entry.excluded } -> DispatchRefusal.NO_SERVER
-            firstWanted(runners, entry, now) >= entry.beginBy -> DispatchRefusal.SERVERS_PAUSED
+            firstWanted(runners, entry, now) > maxOf(now, entry.beginBy) -> DispatchRefusal.SERVERS_PAUSED
             else -> null
         }
     }
@@ -279,6 +281,7 @@
             holder = entry.holder,
             tokens = place.tokens,
             outputTokens = (entry.work as? DispatchWork.Generation)?.outputTokens ?: 0,
+            memory = place.memory,
             readingUntil = place.readingTime?.let { now + it },
             tokensAhead = place.tokensAhead,
             grantedAt = now,
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
@@ -11,11 +11,13 @@
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.message.PlaceOutcome
 import org.arbutusnotch.core.message.PlacePart
+import org.arbutusnotch.core.time.Timestamp
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotEqualTo
@@ -52,6 +54,36 @@
         expectThat(fixture.release(granted.first(), elapsed = 3.seconds).granted()).hasSize(1)
     }
 
+    /**
+     * Guards against memory that stays free at a crest (mognad-nord scale-2: 11 of 18 runs). Runs arrive evenly,
+     * as many as the server could hold; with 0.7 of the output counted for each, it holds 44 at the most.
+     */
+    @Test
+    fun `server holds more runs of different ages than would fit at their largest sizes`() {
+        val fixture = DispatchFixture(
+            listOf(server("p", ServerStage.PREFILL, slots = 16), server("d", ServerStage.DECODE, slots = 64)),
+            EngineProfile(slots = 64, memoryTokens = 40_000),
+        )
+        val running = LinkedHashMap<DispatchDecision.Granted, Timestamp>()
+        fun begin(decisions: List<DispatchDecision>) = decisions.granted().forEach { granted ->
+            running[granted] = fixture.now
+            fixture.release(granted, PlacePart.PREFILL, elapsed = 10.milliseconds)
+        }
+        val counts = mutableListOf<Int>()
+        repeat(600) {
+            val ended = running.filterValues { fixture.now - it >= 1.seconds }.keys
+            running -= ended
+            ended.forEach { begin(fixture.release(it, elapsed = 1.seconds)) }
+            if (fixture.dispatcher.queueLength == 0) begin(fixture.generate(prompt = 520, output = 470))
+            begin(fixture.dispatcher.tick(fixture.now))
+            val held = running.values.sumOf { 520 + (fixture.now - it).inWholeMilliseconds * 470 / 1_000 }
+            expectThat(held).isLessThanOrEqualTo(40_000L)
+            counts += running.size
+            fixture.pass(21.milliseconds)
+        }
+        expectThat(counts.drop(200).average()).isGreaterThan(45.0)
+    }
+
     /** Guards against a queue at a prefill server, where requests cannot be reordered or withdrawn. */
     @Test
     fun `prefill server has two prompts at the most`() {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -54,7 +54,9 @@
         is RouteKind.Generation -> kind.patience
         RouteKind.IdempotentCall, RouteKind.SingleRunCall -> deadlineAt - receivedAt
     }
-    private val beginBy: Timestamp = receivedAt + minOf(deadlineAt - receivedAt, patience) * WAITING_SHARE
+
+    /** Time by which a server must begin to work. */
+    protected open val beginBy: Timestamp = receivedAt + minOf(deadlineAt - receivedAt, patience) * WAITING_SHARE
     private var ticket: TicketId? = null
     private var cancelDeadline: () -> Unit = {}
 
@@ -71,6 +73,9 @@
     /** Servers to which the request must not go again. */
     protected val excluded: MutableSet<BackendServerId> = linkedSetOf()
 
+    /** Whether a part of the answer was passed on; what is left is then wanted before anything that has not begun. */
+    protected var begun: Boolean = false
+
     protected var finished: Boolean = false
         private set
 
@@ -88,7 +93,7 @@
             pool = request.pool,
             work = work,
             priority = request.route.priority,
-            objectiveAt = objectiveAt,
+            objectiveAt = if (begun) beginBy else objectiveAt,
             beginBy = beginBy,
             deadlineAt = deadlineAt,
             excluded = excluded.toSet(),
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -39,7 +39,13 @@
     private var prefill: SingleCall? = null
     private var run: Run? = null
     private var arrivals = 0
-    private var begun = false
+
+    /** Time of the latest progress of the stream that the caller saw, or of the head while there is none. */
+    private var progressAt: Timestamp = receivedAt
+
+    /** A stream that has begun is wanted again before its caller, who has seen its latest event, leaves. */
+    override val beginBy: Timestamp
+        get() = if (begun) minOf(deadlineAt, progressAt + patience * WAITING_SHARE) else super.beginBy
 
     /** Whether the decode server is to read the prompt itself. */
     private var direct = false
@@ -268,9 +274,6 @@
         private var cancelWatch: () -> Unit = {}
         private var readingPaused = false
 
-        /** Time of the latest event, or of the head while there is none. */
-        private var progressAt: Timestamp = startedAt
-
         private val server = place.server
 
         fun start() {
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/GenerationTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/GenerationTest.kt
@@ -59,6 +59,35 @@
         expectThat(decode.requests.single().header("memory")).isEqualTo("${prefill.address}/handle-7")
     }
 
+    /**
+     * Guards against a stream that is broken off although another server is free, because its caller would not have
+     * waited so long for a first event (mognad-nord scale-2: 27 streams of 650).
+     */
+    @Test
+    fun `stream that breaks late is continued`() {
+        val first = server {
+            streamHead()
+            (1..7).forEach {
+                event(it)
+                Thread.sleep(300)
+            }
+            reset()
+        }
+        val second = server { events(8..9) }
+        val fixture = fixture(first)
+        fixture.store.put("servers/e", testServer("e", second.address, ServerStage.DECODE, leaving = true))
+        Thread.sleep(100)
+        val caller = RawCaller(fixture.front)
+        open += caller
+        caller.write(fixture.request("/resumable/x", "r1", headers = tokens))
+        awaitUntil("the stream has begun") { first.requests.isNotEmpty() }
+        fixture.store.put("servers/e", testServer("e", second.address, ServerStage.DECODE))
+        val answer = caller.read()
+        expectThat(answer?.body).isEqualTo(eventText(1..9))
+        expectThat(answer?.complete ?: false).isTrue()
+        expectThat(second.requests.single().header("after")).isEqualTo("7")
+    }
+
     /** Guards against events that are collected instead of passed on. */
     @Test
     fun `events are passed on as they arrive`() {
