--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/FenceSequence.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/FenceSequence.kt
@@ -8,6 +8,7 @@
 package org.arbutusnotch.core.membership
 
 import org.arbutusnotch.core.time.Timestamp
+import kotlin.time.Duration.Companion.days
 
 /** Numbers orders in ascending order over all instances that exchange [highest]. */
 public class FenceSequence {
@@ -15,9 +16,9 @@
     public var highest: Long = 0
         private set
 
-    /** Takes over a number that another instance knows of. */
-    public fun observe(used: Long) {
-        highest = maxOf(highest, used)
+    /** Takes over a number that another instance knows of at [now]; one that no clock can have given is ignored. */
+    public fun observe(used: Long, now: Timestamp) {
+        if (used <= (now + LARGEST_DIFFERENCE).epochMillis) highest = maxOf(highest, used)
     }
 
     /** Returns the number of an order that is given at [now]. */
@@ -25,4 +26,9 @@
         highest = maxOf(now.epochMillis, highest + 1)
         return highest
     }
+
+    private companion object {
+        /** Difference between two clocks above which one of them is taken for broken. */
+        val LARGEST_DIFFERENCE = 1.days
+    }
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
@@ -59,7 +59,7 @@
     fun onGossip(gossip: Gossip, now: Timestamp) {
         report(table.merge(gossip.rows, now))
         report(table.mergeHeartbeats(gossip.heartbeats, now))
-        fences.observe(gossip.highestFence)
+        fences.observe(gossip.highestFence, now)
         table.laterRowThan(gossip.sender)?.let { link.send(gossip.sender.address, Gossip(self, listOf(it))) }
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/PeerLink.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/PeerLink.kt
@@ -20,6 +20,7 @@
 import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.message.PeerMessage
 import org.arbutusnotch.forwarding.http.socketAddress
+import org.arbutusnotch.forwarding.http.socketAddressOrNull
 import org.arbutusnotch.peer.PeerMessageCodec
 import org.arbutusnotch.telemetry.EventLog
 import java.net.InetSocketAddress
@@ -49,7 +50,12 @@
             log.warn("message_too_large") { field("bytes", bytes.size) }
             return
         }
-        channel?.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), socketAddress(target.value)))
+        val address = socketAddressOrNull(target.value)
+        if (address == null) {
+            log.warn("invalid_target") { field("target", target.value.take(MAXIMUM_LOGGED)) }
+            return
+        }
+        channel?.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), address))
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
@@ -77,5 +83,8 @@
     private companion object {
         /** Largest payload of a UDP datagram over IPv4, less room for headers. */
         const val MAXIMUM_BYTES = 60_000
+
+        /** Characters of an invalid address that are logged. */
+        const val MAXIMUM_LOGGED = 60
     }
 }
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LifecycleTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LifecycleTest.kt
@@ -12,9 +12,14 @@
 import org.arbutusnotch.forwarding.fixture.testServer
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 
 class LifecycleTest {
     /** Guards against requests that a planned stop interrupts, and against callers sent to a stopping instance. */
@@ -40,6 +45,53 @@
         server.close()
     }
 
+    /**
+     * Guards against requests that were accepted just before a planned stop, or during it on kept connections, and are
+     * cut off without an answer.
+     */
+    @Test
+    fun `shutdown under load answers every request that was passed on`() {
+        val server = ScriptedServer {
+            Thread.sleep(20)
+            answer()
+        }
+        val answered = ConcurrentHashMap.newKeySet<String>()
+        InstanceFixture(servers = listOf(testServer("a", server.address))).use { fixture ->
+            val callers = (1..CALLERS).map { number ->
+                thread { answered += idsAnsweredUntilStopped(fixture, "c$number") }
+            }
+            awaitUntil("the callers are at work") { server.requests.size > CALLERS }
+            fixture.instance.stop()
+            callers.forEach { it.join() }
+            val passedOn = server.requests.mapNotNull { it.header("id") }.toSet()
+            expectThat(passedOn - answered).isEmpty()
+            expectThat(passedOn.size).isGreaterThan(CALLERS)
+        }
+        server.close()
+    }
+
+    /** Calls on kept connections, and on new ones after those were closed, until no connection is accepted. */
+    private fun idsAnsweredUntilStopped(fixture: InstanceFixture, caller: String): Set<String> {
+        val answered = HashSet<String>()
+        var calls = 0
+        try {
+            while (true) {
+                RawCaller(fixture.front).use { connection ->
+                    var kept = true
+                    while (kept) {
+                        val id = "$caller-${++calls}"
+                        connection.write(fixture.request("/once/x", id))
+                        val answer = connection.read()
+                        if (answer?.status == 200 && answer.complete) answered += id
+                        kept = answer != null && answer.header("Connection") != "close"
+                    }
+                }
+            }
+        } catch (_: IOException) {
+            return answered
+        }
+    }
+
     /** Guards against a lower revision that replaces a higher one, and against a removed route that stays in force. */
     @Test
     fun `higher revision replaces the routes and a lower one does not`() {
@@ -91,4 +143,8 @@
         }
         server.close()
     }
+
+    private companion object {
+        const val CALLERS = 12
+    }
 }
