Decide whether a stream stalls in one place, without a network

The check of a stream that its caller does not read was due at once, again and again, until the caller read on: it lay at the time of the latest event plus the limit, which had passed. The head of an answer that fails no longer counts as progress of a stream that has begun.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -252,8 +252,8 @@
 
     /**
      * Orders streams that have begun first: they are lost when their callers leave, with all that was spent on them.
-     * Then come requests that can be on time, before late ones; each by priority and objective. A long run counts as if its
-     * objective were later: while places are short, several short runs are served in the time of a long one.
+     * Then come requests that can be on time, before late ones; each by priority and objective. A long run counts as if
+     * its objective were later: while places are short, several short runs are served in the time of a long one.
      */
     private fun inOrder(now: Timestamp): List<WaitingRequest> = waiting.values.sortedWith(
         compareBy<WaitingRequest> { !it.begun }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -9,6 +9,7 @@
 import com.github.michaelbull.result.fold
 import io.netty.buffer.ByteBuf
 import org.arbutusnotch.core.forwarding.KeptAnswer
+import org.arbutusnotch.core.forwarding.StreamProgress
 import org.arbutusnotch.core.message.DispatchRefusal
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.message.PlaceOutcome
@@ -40,12 +41,12 @@
     private var run: Run? = null
     private var arrivals = 0
 
-    /** Time of the latest progress of the stream that the caller saw, or of the head while there is none. */
-    private var progressAt: Timestamp = receivedAt
+    /** Time of the latest event that was passed on, or of the request while there is none. */
+    private var latestEventAt: Timestamp = receivedAt
 
     /** A stream that has begun is wanted again before its caller, who has seen its latest event, leaves. */
     override val beginBy: Timestamp
-        get() = if (begun) minOf(deadlineAt, progressAt + patience * WAITING_SHARE) else super.beginBy
+        get() = if (begun) minOf(deadlineAt, latestEventAt + patience * WAITING_SHARE) else super.beginBy
 
     /** Whether the decode server is to read the prompt itself. */
     private var direct = false
@@ -272,7 +273,7 @@
         private var over = false
         private var cancelSilence: () -> Unit = {}
         private var cancelWatch: () -> Unit = {}
-        private var readingPaused = false
+        private var progress = StreamProgress(pauseLimit, startedAt)
 
         private val server = place.server
 
@@ -314,7 +315,7 @@
         override fun onHead(head: ResponseHead) {
             this.head = head
             facts = readAnswer(place.server, head)
-            progressAt = context.now()
+            progress = StreamProgress(pauseLimit, begunAt = context.now())
             if (streams) watchProgress()
             if (facts?.notRun != true) openHandle = null
         }
@@ -333,12 +334,17 @@
             if (!begun) begin(received)
             val events = relay.events
             responder.sendPart(relay.pass(content))
-            if (relay.events > events) progressAt = context.now()
+            if (relay.events > events) noteEvent()
             if (!context.answerMemory.resize(keptEvent, relay.keptBytes)) return giveUp("no memory for an event")
             if (relay.isTooLarge) return giveUp("event of more than ${EventRelay.MAXIMUM_EVENT_BYTES} bytes")
             if (!responder.isWritable) pauseReading()
         }
 
+        private fun noteEvent() {
+            latestEventAt = context.now()
+            progress.noteEvent(latestEventAt)
+        }
+
         private val keptEvent = KeptAnswer { giveUp("no memory for an event") }
 
         /** Ends an answer that cannot be kept. */
@@ -349,26 +355,21 @@
         }
 
         private fun pauseReading() {
-            readingPaused = true
+            progress.pause()
             call?.setReading(false)
         }
 
         private fun resumeReading() {
-            readingPaused = false
-            progressAt = context.now()
+            progress.resume(context.now())
             call?.setReading(true)
         }
 
-        /** Watches for a stream that stalls, whatever bytes come: only events count. A slow caller stops the clock. */
         private fun watchProgress() {
-            cancelWatch = context.at(progressAt + pauseLimit) {
-                val stalled = !readingPaused && context.now() >= progressAt + pauseLimit
-                if (stalled &&
-                    !over
-                ) {
-                    giveUp("no event for ${pauseLimit.inWholeMilliseconds} ms")
-                } else if (!over) {
-                    watchProgress()
+            cancelWatch = context.at(progress.nextCheck(context.now())) {
+                when {
+                    over -> Unit
+                    progress.isStalled(context.now()) -> giveUp("no event for ${pauseLimit.inWholeMilliseconds} ms")
+                    else -> watchProgress()
                 }
             }
         }
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LifecycleTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LifecycleTest.kt
@@ -73,25 +73,27 @@
     /** Calls on kept connections, and on new ones after those were closed, until no connection is accepted. */
     private fun idsAnsweredUntilStopped(fixture: InstanceFixture, caller: String): Set<String> {
         val answered = HashSet<String>()
-        var calls = 0
+        val ids = generateSequence(1) { it + 1 }.map { "$caller-$it" }.iterator()
         try {
-            while (true) {
-                RawCaller(fixture.front).use { connection ->
-                    var kept = true
-                    while (kept) {
-                        val id = "$caller-${++calls}"
-                        connection.write(fixture.request("/once/x", id))
-                        val answer = connection.read()
-                        if (answer?.status == 200 && answer.complete) answered += id
-                        kept = answer != null && answer.header("Connection") != "close"
-                    }
-                }
-            }
+            while (true) RawCaller(fixture.front).use { answered += idsAnsweredOn(it, fixture, ids) }
         } catch (_: IOException) {
             return answered
         }
     }
 
+    private fun idsAnsweredOn(connection: RawCaller, fixture: InstanceFixture, ids: Iterator<String>): Set<String> {
+        val answered = HashSet<String>()
+        var kept = true
+        while (kept) {
+            val id = ids.next()
+            connection.write(fixture.request("/once/x", id))
+            val answer = connection.read()
+            if (answer?.status == 200 && answer.complete) answered += id
+            kept = answer != null && answer.header("Connection") != "close"
+        }
+        return answered
+    }
+
     /** Guards against a lower revision that replaces a higher one, and against a removed route that stays in force. */
     @Test
     fun `higher revision replaces the routes and a lower one does not`() {
