--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LifecycleTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LifecycleTest.kt
@@ -75,14 +75,18 @@
         val answered = HashSet<String>()
         val ids = generateSequence(1) { it + 1 }.map { "$caller-$it" }.iterator()
         try {
-            while (true) RawCaller(fixture.front).use { answered += idsAnsweredOn(it, fixture, ids) }
+            while (true) RawCaller(fixture.front).use { callUntilClosed(it, fixture, ids, answered) }
         } catch (_: IOException) {
             return answered
         }
     }
 
-    private fun idsAnsweredOn(connection: RawCaller, fixture: InstanceFixture, ids: Iterator<String>): Set<String> {
-        val answered = HashSet<String>()
+    private fun callUntilClosed(
+        connection: RawCaller,
+        fixture: InstanceFixture,
+        ids: Iterator<String>,
+        answered: MutableSet<String>,
+    ) {
         var kept = true
         while (kept) {
             val id = ids.next()
@@ -91,7 +95,6 @@
             if (answer?.status == 200 && answer.complete) answered += id
             kept = answer != null && answer.header("Connection") != "close"
         }
-        return answered
     }
 
     /** Guards against a lower revision that replaces a higher one, and against a removed route that stays in force. */
