Log what attempts at the same request share, and count repeated arrivals

Two attempts of a caller at one request could not be linked in the logs, since each has an id of its own, and nothing told how many repeats a pool had left or where they arrived. request_received now names the digest of host, method, target and body; arbutusnotch_arrivals_total counts requests as they are sent to servers, by part; dispatch_refused names the repeats that are left, and dispatching the instance that begins to decide about a pool. No decision changes.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -56,6 +56,9 @@
     public val placesInUse: Int
         get() = ledgers.values.sumOf { it.places.size }
 
+    /** Returns how many requests may be sent to a further server at [now]. */
+    public fun repeatsLeft(now: Timestamp): Int = budget.available(now)
+
     /** Takes over the servers that may get new work; [engine] is null for a pool of plain calls. */
     public fun configure(servers: List<BackendServer>, engine: EngineProfile?) {
         selection =
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -53,16 +53,16 @@
         get() = dispatchers.values.sumOf { it.placesInUse }
 
     fun onRequest(request: DispatchRequest, now: Timestamp) {
-        deliver(request.pool, dispatcher(request.pool, now).submit(request, now))
+        deliver(request.pool, dispatcher(request.pool, now).submit(request, now), now)
     }
 
     fun onRelease(release: DispatchRelease, now: Timestamp) {
         val dispatcher = dispatchers[release.pool] ?: return
-        deliver(release.pool, dispatcher.release(release, now))
+        deliver(release.pool, dispatcher.release(release, now), now)
     }
 
     fun onHeld(held: HeldPlaces, now: Timestamp) {
-        deliver(held.pool, dispatcher(held.pool, now).renew(held, now))
+        deliver(held.pool, dispatcher(held.pool, now).renew(held, now), now)
     }
 
     fun onNotice(notice: ServerNotice, now: Timestamp) {
@@ -76,7 +76,7 @@
             is ServerNotice.Pause -> {
                 val until = now + notice.pauseMillis.milliseconds
                 val decisions = dispatcher?.pause(notice.server, notice.holder, until, now).orEmpty()
-                deliver(notice.pool, decisions)
+                deliver(notice.pool, decisions, now)
             }
         }
     }
@@ -87,7 +87,7 @@
         // A decision may end a request of this instance and begin one for a pool that has no dispatcher yet.
         dispatchers.entries.toList().forEach { (pool, dispatcher) ->
             dispatcher.configure(usable[pool].orEmpty(), definition(pool)?.engine)
-            deliver(pool, dispatcher.tick(now))
+            deliver(pool, dispatcher.tick(now), now)
             changeStages(pool, dispatcher, now)
         }
     }
@@ -102,20 +102,21 @@
     private fun dispatcher(pool: PoolId, now: Timestamp): PoolDispatcher = dispatchers.getOrPut(pool) {
         PoolDispatcher(newBudget()).also { created ->
             configure(pool, created, now)
+            log.info("dispatching") { field("pool", pool) }
         }
     }
 
     private fun configure(pool: PoolId, dispatcher: PoolDispatcher, now: Timestamp) =
         dispatcher.configure(servers(now).filter { it.pool == pool }, definition(pool)?.engine)
 
-    private fun deliver(pool: PoolId, decisions: List<DispatchDecision>) {
+    private fun deliver(pool: PoolId, decisions: List<DispatchDecision>, now: Timestamp) {
         decisions.forEach { decision ->
-            if (decision is DispatchDecision.Refused) logRefusal(pool, decision)
+            if (decision is DispatchDecision.Refused) logRefusal(pool, decision, now)
             reply(decision.holder.address, replyOf(decision))
         }
     }
 
-    private fun logRefusal(pool: PoolId, refusal: DispatchDecision.Refused) {
+    private fun logRefusal(pool: PoolId, refusal: DispatchDecision.Refused, now: Timestamp) {
         val dispatcher = dispatchers[pool]
         log.info("dispatch_refused") {
             field("ticket", refusal.ticket)
@@ -123,6 +124,7 @@
             field("reason", refusal.reason)
             field("waiting", dispatcher?.queueLength)
             field("places_in_use", dispatcher?.placesInUse)
+            field("repeats_left", dispatcher?.repeatsLeft(now))
             field("retry_millis", refusal.retryAfter.inWholeMilliseconds)
         }
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -114,6 +114,7 @@
             val usable = context.registry.findUsable(place.server.id, context.now()) != null
             if (!usable || finished || context.now() >= deadlineAt) return false
             sent = true
+            context.counters.arrived("call", repeated = arrivals > 0)
             arrivals += 1
             mayHaveRun = true
             ranOn += place.server.id
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -10,6 +10,7 @@
 import org.arbutusnotch.core.forwarding.Route
 import org.arbutusnotch.core.forwarding.RouteKind
 import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.ContentDigest
 import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.id.TicketId
 import org.arbutusnotch.core.message.DispatchRefusal
@@ -29,9 +30,14 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Describes a request with its route. */
+/**
+ * Describes a request with its route.
+ *
+ * @property content what other attempts at the same request have in common with this one
+ */
 internal class RoutedRequest(
     val message: HttpRequestMessage,
+    val content: ContentDigest,
     val caller: CallerRequest,
     val route: Route,
     val pool: PoolId,
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingCounters.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingCounters.kt
@@ -36,6 +36,14 @@
         }.increment()
     }
 
+    /** Counts a request that is sent to a backend server for [part]; [repeated] tells whether one received it before. */
+    fun arrived(part: String, repeated: Boolean) {
+        counters.getOrPut("arrival $part" to repeated.toString()) {
+            Counter.builder("arbutusnotch_arrivals").tag("part", part).tag("repeated", repeated.toString())
+                .register(registry)
+        }.increment()
+    }
+
     /** Publishes the present value of [read] under [name]. */
     fun gauge(name: String, read: () -> Int) {
         Gauge.builder(name) { read().toDouble() }.register(registry)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
@@ -33,9 +33,10 @@
         if (pool == null) return reject("no_pool", NOT_YET, caller, table, responder)
         val endToEnd = ConnectionHeaders.passedOn(request.head, context.protocol.endToEndHeaders)
         val message = HttpRequestMessage(request.head.copy(headers = endToEnd), request.body)
-        val routed = RoutedRequest(message, caller, route, pool, workOf(route, caller))
+        val routed = RoutedRequest(message, contentDigest(message), caller, route, pool, workOf(route, caller))
         log.info("request_received") {
             field("request", caller.id)
+            field("content", routed.content)
             field("route", route.name)
             field("revision", table.revision)
             field("pool", pool)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -8,6 +8,7 @@
 
 import com.github.michaelbull.result.fold
 import io.netty.buffer.ByteBuf
+import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.KeptAnswer
 import org.arbutusnotch.core.forwarding.StreamProgress
 import org.arbutusnotch.core.message.DispatchRefusal
@@ -41,6 +42,9 @@
     private var run: Run? = null
     private var arrivals = 0
 
+    /** Number of servers to which the prompt was sent to be read. */
+    private var readings = 0
+
     /** Time of the latest event that was passed on, or of the request while there is none. */
     private var latestEventAt: Timestamp = receivedAt
 
@@ -94,7 +98,7 @@
             answerTime = minOf(remaining, PREFILL_TIME + PREFILL_TIME_PER_TOKEN * request.caller.promptTokens),
             memory = context.answerMemory,
             maximumBytes = MAXIMUM_PREFILL_ANSWER,
-            maySend = { context.registry.findUsable(server.id, context.now()) != null },
+            maySend = { mayRead(server) },
         ) { result ->
             prefill = null
             if (!finished) {
@@ -109,6 +113,13 @@
         call.start(socketAddress(server.address), context.group)
     }
 
+    private fun mayRead(server: BackendServer): Boolean {
+        if (context.registry.findUsable(server.id, context.now()) == null) return false
+        context.counters.arrived("prefill", repeated = readings > 0)
+        readings += 1
+        return true
+    }
+
     private fun readHandle(response: HttpResponseMessage, place: GrantedPlace, startedAt: Timestamp): RunPart.Decode? {
         val server = place.prefillServer ?: return null
         val facts = readAnswer(server, response.head)
@@ -294,6 +305,7 @@
         override fun maySend(): Boolean {
             val usable = context.registry.findUsable(server.id, context.now()) != null
             if (!usable || finished || context.now() >= deadlineAt) return false
+            context.counters.arrived("run", repeated = arrivals > 0)
             arrivals += 1
             mayHaveRun = true
             ranOn += server.id
