Charge repeats for each arrival at a server

The retry budget was taken once for each repeated question to the dispatcher.

A question now says how many arrivals beyond the first its place causes, a second reading of the prompt included, and whether the request has asked before; a rejected reading is charged when it is reported.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -108,6 +108,8 @@
         ledger.health.record(release.outcome, domain, now)
         if (release.outcome in ANSWERS) ledger.answeredAt = now
         if (release.outcome == PlaceOutcome.NOT_RUN) ledger.fullUntil = now + FULL_PAUSE
+        // A prompt that a server accepts is no arrival of its own, one that it rejects is.
+        if (release.part == PlacePart.PREFILL && release.outcome == PlaceOutcome.NOT_RUN) budget.charge(now)
         ledger.noteSlowdown(release.slowdownPercent, now)
         if (place != null && release.outcome == PlaceOutcome.COMPLETED) {
             selection.observe(ledger, place, release, now)
@@ -197,10 +199,10 @@
         return when {
             withoutServer != null -> withoutServer
 
-            request.repeated && !budget.take(now) -> DispatchRefusal.RETRY_BUDGET
+            request.repeats > 0 && !budget.take(now, request.repeats) -> DispatchRefusal.RETRY_BUDGET
 
             else -> {
-                if (!request.repeated) budget.recordFirstAttempt(now)
+                if (!request.askedBefore) budget.recordFirstAttempt(now)
                 DispatchRefusal.OVERLOADED.takeIf { isHopeless(entry, waiting.size, now) }
             }
         }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
@@ -50,7 +50,8 @@
  * @property beginMillis time left until the request is refused rather than kept waiting
  * @property remainingMillis time left until the caller gives up
  * @property excluded servers that this request must not go to again
- * @property repeated whether a backend server has already received this request
+ * @property repeats arrivals at servers, beyond the first one of the request, that a place causes
+ * @property askedBefore whether the request has had a place that no server received it in, or that it is asked for again
  * @property begun whether the caller has already got a part of the answer
  */
 @Serializable
@@ -66,7 +67,8 @@
     @SerialName("b") public val beginMillis: Long,
     @SerialName("d") public val remainingMillis: Long,
     @SerialName("x") public val excluded: List<BackendServerId> = emptyList(),
-    @SerialName("r") public val repeated: Boolean = false,
+    @SerialName("r") public val repeats: Int = 0,
+    @SerialName("a") public val askedBefore: Boolean = false,
     @SerialName("g") public val begun: Boolean = false,
 ) : DispatchMessage
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/retry/RetryBudget.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/retry/RetryBudget.kt
@@ -33,13 +33,18 @@
         return (allowed - buckets.sumOf { it.retries }).coerceAtLeast(0)
     }
 
-    /** Takes one retry from the budget; returns false and takes nothing when it is spent. */
-    public fun take(now: Timestamp): Boolean {
-        if (available(now) == 0) return false
-        current(now).retries++
+    /** Takes [count] retries from the budget; returns false and takes nothing when fewer are left. */
+    public fun take(now: Timestamp, count: Int = 1): Boolean {
+        if (available(now) < count) return false
+        current(now).retries += count
         return true
     }
 
+    /** Records a retry that has happened, whether it was allowed or not; later ones wait for it. */
+    public fun charge(now: Timestamp) {
+        current(now).retries++
+    }
+
     private fun current(now: Timestamp): Bucket {
         discardOld(now)
         val start = now.epochMillis.floorDiv(BUCKET.inWholeMilliseconds)
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
@@ -260,6 +260,17 @@
         expectThat(decisions.refused().map { it.reason }.toSet()).isEqualTo(setOf(DispatchRefusal.RETRY_BUDGET))
     }
 
+    /** Guards against a budget that grows each time a request asks again because its server was not reached. */
+    @Test
+    fun `request that asks again is not counted as another one`() {
+        val fixture = DispatchFixture(listOf(server("a", slots = 200)), budget = RetryBudget(10, 0))
+        repeat(9) { fixture.submitCall() }
+        repeat(50) { fixture.submit(fixture.request(DispatchWork.Call).copy(askedBefore = true)) }
+        expectThat(fixture.dispatcher.repeatsLeft(fixture.now)).isEqualTo(0)
+        fixture.submitCall()
+        expectThat(fixture.dispatcher.repeatsLeft(fixture.now)).isEqualTo(1)
+    }
+
     @Test
     fun `pool without servers refuses`() {
         val fixture = DispatchFixture(emptyList())
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/DispatchFixture.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/DispatchFixture.kt
@@ -70,7 +70,8 @@
             beginMillis = begin.inWholeMilliseconds,
             remainingMillis = remaining.inWholeMilliseconds,
             excluded = excluded,
-            repeated = repeated,
+            repeats = if (repeated) 1 else 0,
+            askedBefore = repeated,
         )
     }
 
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
@@ -11,6 +11,7 @@
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.message.PlaceOutcome
 import org.arbutusnotch.core.message.PlacePart
+import org.arbutusnotch.core.retry.RetryBudget
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.hasSize
@@ -69,6 +70,19 @@
             .isEqualTo(listOf(begun.ticket))
     }
 
+    /** Guards against rejected readings of prompts that cost no repeat although servers received them. */
+    @Test
+    fun `rejected reading of a prompt is a repeat`() {
+        val fixture = DispatchFixture(
+            listOf(server("p", ServerStage.PREFILL, slots = 16), server("d", ServerStage.DECODE, slots = 16)),
+            engine,
+            RetryBudget(10, 3),
+        )
+        val granted = fixture.generate().granted().single()
+        fixture.release(granted, PlacePart.PREFILL, PlaceOutcome.NOT_RUN)
+        expectThat(fixture.dispatcher.repeatsLeft(fixture.now)).isEqualTo(2)
+    }
+
     /** Guards against a queue at a prefill server, where requests cannot be reordered or withdrawn. */
     @Test
     fun `prefill server has two prompts at the most`() {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -33,7 +33,12 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Describes a request that needs a place. */
+/**
+ * Describes a request that needs a place.
+ *
+ * @property repeats arrivals at servers, beyond the first one of the request, that a place causes
+ * @property askedBefore whether this is not the first question for the request
+ */
 internal data class PlaceQuestion(
     val pool: PoolId,
     val work: DispatchWork,
@@ -42,7 +47,8 @@
     val beginBy: Timestamp,
     val deadlineAt: Timestamp,
     val excluded: Set<BackendServerId>,
-    val repeated: Boolean,
+    val repeats: Int,
+    val askedBefore: Boolean,
     val begun: Boolean = false,
 )
 
@@ -200,7 +206,8 @@
             val refusal = DispatchRefusal.NO_SERVER
             asked.onAnswer(PlaceAnswer.Refused(reply.ticket, self.address, refusal, NO_SERVER_RETRY))
         } else {
-            ask(asked.question.copy(excluded = excluded), asked.onAnswer)
+            // The dispatcher has counted the request and its repeats with the question before.
+            ask(asked.question.copy(excluded = excluded, repeats = 0, askedBefore = true), asked.onAnswer)
         }
     }
 
@@ -260,7 +267,8 @@
                 beginMillis = (question.beginBy - now).inWholeMilliseconds,
                 remainingMillis = (question.deadlineAt - now).inWholeMilliseconds,
                 excluded = question.excluded.toList(),
-                repeated = question.repeated,
+                repeats = question.repeats,
+                askedBefore = question.askedBefore,
                 begun = question.begun,
             ),
         )
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -64,6 +64,7 @@
     /** Time by which a server must begin to work. */
     protected open val beginBy: Timestamp = receivedAt + minOf(deadlineAt - receivedAt, patience) * WAITING_SHARE
     private var ticket: TicketId? = null
+    private var asked = false
     private var cancelDeadline: () -> Unit = {}
 
     /** What the request needs of a backend server now. */
@@ -94,8 +95,8 @@
     }
 
     /**
-     * Asks for a place; [repeated] tells whether a server has already received the request. One that ends servers gets
-     * none.
+     * Asks for a place; [repeated] tells whether the last place ended with a server that received the request. One that
+     * ends servers gets none.
      */
     protected fun ask(repeated: Boolean) {
         val refusedFor = context.crashes.refusedFor(request.content)
@@ -111,18 +112,23 @@
             beginBy = beginBy,
             deadlineAt = deadlineAt,
             excluded = excluded.toSet(),
-            repeated = repeated,
+            repeats = repeatsOf(repeated),
+            askedBefore = asked,
             begun = begun,
         )
+        asked = true
         var answeredAtOnce = false
-        val asked = context.dispatch.ask(question) { answer ->
+        val questionTicket = context.dispatch.ask(question) { answer ->
             ticket = null
             answeredAtOnce = true
             onAnswer(answer)
         }
-        if (!answeredAtOnce) ticket = asked
+        if (!answeredAtOnce) ticket = questionTicket
     }
 
+    /** Returns the arrivals beyond the first that the next place causes; [repeated] as for [ask]. */
+    protected open fun repeatsOf(repeated: Boolean): Int = if (repeated) 1 else 0
+
     private fun onAnswer(answer: PlaceAnswer) {
         when (answer) {
             is PlaceAnswer.Granted -> {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -112,6 +112,12 @@
         call.start(socketAddress(server.address), context.group)
     }
 
+    /** A prompt that has been read may be read again only as an arrival of its own. */
+    override fun repeatsOf(repeated: Boolean): Int {
+        val reading = if (readings > 0 && !direct) 1 else 0
+        return super.repeatsOf(repeated) + reading
+    }
+
     private fun mayRead(server: BackendServer): Boolean {
         if (!mayReach(server)) return false
         context.counters.arrived("prefill", repeated = readings > 0)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/quarantine/CrashReporter.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/quarantine/CrashReporter.kt
@@ -25,8 +25,7 @@
     private val log = EventLog("quarantine")
 
     /** Returns for how long no server must get a request with [content]; null when one may. */
-    fun refusedFor(content: ContentDigest): Duration? =
-        quarantine.refusedUntil(content, now())?.let { it - now() }
+    fun refusedFor(content: ContentDigest): Duration? = quarantine.refusedUntil(content, now())?.let { it - now() }
 
     /** Records that [server] ended its connection while it ran the request with [content]. */
     fun noteServerEnded(content: ContentDigest, server: BackendServer, request: RequestId) {
