Share the allowance of repeats between dispatchers that follow or do not reach each other

Each new dispatcher of a pool began with a whole allowance: it does not know what the one before gave out in the same window.

A dispatcher that has not been informed begins with an eighth of the allowance and gets the rest over one window, so that dispatchers which follow one another give out what one would. It gives out the part of the allowance that corresponds to the part of the known instances that it reaches. Both tests fail with the mechanism switched off (320 and 64 repeats instead of 128 and 16).

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -59,6 +59,11 @@
     /** Returns how many requests may be sent to a further server at [now]. */
     public fun repeatsLeft(now: Timestamp): Int = budget.available(now)
 
+    /** Gives out [share] of the repeats that all dispatchers of the pool together may give out. */
+    public fun limitRepeats(share: Double) {
+        budget.share = share
+    }
+
     /** Takes over the servers that may get new work; [engine] is null for a pool of plain calls. */
     public fun configure(servers: List<BackendServer>, engine: EngineProfile?) {
         selection =
@@ -86,7 +91,10 @@
             return listOf(DispatchDecision.Queued(request.ticket, request.holder))
         }
         val entry = WaitingRequest.of(request, now)
-        if (isUninformed(now)) informedAt = now + REPORTS_TIME
+        if (isUninformed(now)) {
+            informedAt = now + REPORTS_TIME
+            budget.beginAnew(now)
+        }
         val refusal = refusalOf(request, entry, now)
         if (refusal != null) return listOf(entry.refused(refusal, now))
         waiting[request.ticket] = entry
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/retry/RetryBudget.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/retry/RetryBudget.kt
@@ -18,6 +18,18 @@
     private val fixedAllowance: Int = FIXED_ALLOWANCE,
 ) {
     private val buckets = ArrayDeque<Bucket>()
+    private var begunAt: Timestamp? = null
+
+    /** Part of the fixed allowance that this budget gives out, while other budgets give out the rest. */
+    public var share: Double = 1.0
+
+    /**
+     * Begins to give out the fixed allowance at [now], in which another budget may have given it out. Most of it becomes
+     * available over one window, so that budgets which follow one another give out no more than one of them does.
+     */
+    public fun beginAnew(now: Timestamp) {
+        begunAt = now
+    }
 
     /** Records a first attempt at [now]. */
     public fun recordFirstAttempt(now: Timestamp) {
@@ -29,7 +41,7 @@
         discardOld(now)
         val oldest = oldestBucket(now)
         val firstAttempts = buckets.filter { it.number > oldest }.sumOf { it.firstAttempts }
-        val allowed = firstAttempts / firstAttemptsPerRetry + fixedAllowance
+        val allowed = firstAttempts / firstAttemptsPerRetry + (fixedAllowance * share * availablePart(now)).toInt()
         return (allowed - buckets.sumOf { it.retries }).coerceAtLeast(0)
     }
 
@@ -45,6 +57,11 @@
         current(now).retries++
     }
 
+    private fun availablePart(now: Timestamp): Double {
+        val begun = begunAt ?: return 1.0
+        return (FIRST_PART + (1 - FIRST_PART) * ((now - begun) / WINDOW)).coerceIn(0.0, 1.0)
+    }
+
     private fun current(now: Timestamp): Bucket {
         discardOld(now)
         val start = now.epochMillis.floorDiv(BUCKET.inWholeMilliseconds)
@@ -80,5 +97,8 @@
         public val WINDOW: Duration = 10.seconds
 
         private val BUCKET: Duration = 1.seconds
+
+        /** Part of the fixed allowance that is available at once; a first failure is still repeated. */
+        private const val FIRST_PART = 0.125
     }
 }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
@@ -21,6 +21,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotEqualTo
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -260,6 +261,36 @@
         expectThat(decisions.refused().map { it.reason }.toSet()).isEqualTo(setOf(DispatchRefusal.RETRY_BUDGET))
     }
 
+    /**
+     * Guards against repeats beyond the limit of the fleet, which is two allowances of a dispatcher, when instances end
+     * or are passed over and one dispatcher follows the other.
+     */
+    @Test
+    fun `dispatchers that follow one another give out no more repeats than the fleet may make`() {
+        val fixture = DispatchFixture(listOf(server("a", slots = 500)), budget = RetryBudget(10, 64))
+        var granted = takeRepeats(fixture)
+        expectThat(granted).isEqualTo(64)
+        repeat(4) {
+            val next = DispatchFixture(listOf(server("a", slots = 500)), budget = RetryBudget(10, 64), informed = false)
+            repeat(4) {
+                granted += takeRepeats(next)
+                next.pass(500.milliseconds)
+            }
+        }
+        expectThat(granted).isLessThanOrEqualTo(2 * 64)
+    }
+
+    private fun takeRepeats(fixture: DispatchFixture): Int =
+        (1..100).flatMap { fixture.submitCall(repeated = true) }.granted().size
+
+    /** Guards against instances that are cut off from each other and give out a whole allowance each. */
+    @Test
+    fun `dispatcher that reaches a part of the instances gives out that part of the repeats`() {
+        val fixture = DispatchFixture(listOf(server("a", slots = 500)), budget = RetryBudget(10, 64))
+        fixture.dispatcher.limitRepeats(0.25)
+        expectThat(takeRepeats(fixture)).isEqualTo(16)
+    }
+
     /** Guards against a budget that grows each time a request asks again because its server was not reached. */
     @Test
     fun `request that asks again is not counted as another one`() {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -116,6 +116,7 @@
         noteLeaving = { server, startedAt -> registry.noteLeaving(server, startedAt) },
         definition = { published.routes?.pools?.get(it) },
         newBudget = { RetryBudget(requestsPerRetry(), (settings.retryAllowance * DISPATCHER_SHARE).toInt()) },
+        repeatShare = { membership.reachableShare() },
         mayOrder = { pool, now -> tenure.mayOrder(pool, now) },
         order = { change, onNotSent -> orderStage(change, onNotSent) },
         reply = { target, reply -> deliver(target, reply) },
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -28,6 +28,7 @@
  * @param noteLeaving records that the process of a server that started at a time leaves
  * @param definition returns what the configuration says of a pool
  * @param newBudget creates the retry budget of a pool
+ * @param repeatShare returns the part of all repeats that this instance may give out
  * @param mayOrder returns whether this instance alone may order servers of a pool
  * @param order orders a server to change its stage, and calls its second argument if the order cannot be sent
  * @param reply sends a reply to the instance at an address
@@ -37,6 +38,7 @@
     private val noteLeaving: (BackendServerId, Long) -> Unit,
     private val definition: (PoolId) -> PoolDefinition?,
     private val newBudget: () -> RetryBudget,
+    private val repeatShare: () -> Double,
     private val mayOrder: (PoolId, Timestamp) -> Boolean,
     private val order: (StageChange, () -> Unit) -> Unit,
     private val reply: (InstanceAddress, DispatchReply) -> Unit,
@@ -87,6 +89,7 @@
         // A decision may end a request of this instance and begin one for a pool that has no dispatcher yet.
         dispatchers.entries.toList().forEach { (pool, dispatcher) ->
             dispatcher.configure(usable[pool].orEmpty(), definition(pool)?.engine)
+            dispatcher.limitRepeats(repeatShare())
             deliver(pool, dispatcher.tick(now), now)
             changeStages(pool, dispatcher, now)
         }
@@ -102,6 +105,7 @@
     private fun dispatcher(pool: PoolId, now: Timestamp): PoolDispatcher = dispatchers.getOrPut(pool) {
         PoolDispatcher(newBudget()).also { created ->
             configure(pool, created, now)
+            created.limitRepeats(repeatShare())
             log.info("dispatching") { field("pool", pool) }
         }
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
@@ -46,12 +46,15 @@
     /** Instances with which messages were exchanged lately, without this one. */
     fun reachablePeers(): List<InstanceView> = table.reachablePeers()
 
-    /** Whether more than half of the known instances are reachable; a minority that is cut off must give no orders. */
-    fun seesMajority(): Boolean {
+    /** Returns which part of the known instances is reachable, this one included. */
+    fun reachableShare(): Double {
         val views = table.views()
-        return views.count { it.reachable } * 2 > views.size
+        return views.count { it.reachable }.toDouble() / views.size
     }
 
+    /** Whether more than half of the known instances are reachable; a minority that is cut off must give no orders. */
+    fun seesMajority(): Boolean = reachableShare() > HALF
+
     fun replaceSeeds(seeds: List<InstanceAddress>) {
         table.seeds = seeds
     }
@@ -127,6 +130,8 @@
     }
 
     private companion object {
+        const val HALF = 0.5
+
         /** Time between two gossips. */
         val INTERVAL = 250.milliseconds
 
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchServiceTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchServiceTest.kt
@@ -45,6 +45,7 @@
             noteLeaving = { _, _ -> },
             definition = { null },
             newBudget = { RetryBudget() },
+            repeatShare = { 1.0 },
             mayOrder = { _, _ -> false },
             order = { _, _ -> },
             reply = { _, reply ->
