Free no memory at a server that wants no requests

A server that had asked this instance to stay away for a while still got the requests that free the memory of prompts which nobody fetches: they were the one path to a server without the check before sending. The new test saw such a request before the change and none after it; the memory lapses by itself.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -189,7 +189,9 @@
         val server = place?.prefillServer ?: return
         openHandle = null
         val free = context.protocol.freeHandle(server.id, handle.handle)
-        SingleCall(free, CONNECT_TIME, FREE_TIME, context.answerMemory) { result ->
+        // A server that wants no requests lets the memory lapse by itself.
+        val mayFree = { context.registry.pausedUntil(server.id, context.now()) == null }
+        SingleCall(free, CONNECT_TIME, FREE_TIME, context.answerMemory, maySend = mayFree) { result ->
             result.fold(
                 success = {},
                 failure = { end ->
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerAnnouncementTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerAnnouncementTest.kt
@@ -198,6 +198,31 @@
         expectThat(pause).isGreaterThan(1_300.milliseconds)
     }
 
+    /** Guards against requests of the system's own, which free memory, within the time for which a server wants none. */
+    @Test
+    fun `memory is not freed at a server that wants no requests`() {
+        val rejects = CountDownLatch(1)
+        val decode = server {
+            if (request.header("id") == "first") rejects.await(5, TimeUnit.SECONDS)
+            answer(status = "503 Busy", headers = "not-run: 1\r\n")
+        }
+        val prefill = server {
+            if (request.header("id") == "first") answer(body = "handle-1") else pausing(millis = "3000")()
+        }
+        val servers = listOf(
+            testServer("d", decode.address, ServerStage.DECODE),
+            testServer("p", prefill.address, ServerStage.PREFILL),
+        )
+        val fixture = InstanceFixture(servers = servers).also { open += it }
+        val first = thread { fixture.call("/stream/x", "first", headers = "tokens: 100,10\r\n") }
+        awaitUntil("the first prompt was read") { decode.requests.isNotEmpty() }
+        fixture.call("/stream/x", "second", headers = "tokens: 100,10\r\n")
+        rejects.countDown()
+        first.join()
+        Thread.sleep(300)
+        expectThat(prefill.requests.map { it.header("id") }).isEqualTo(listOf("first", "second"))
+    }
+
     /** Guards against a pause that only new requests know of: those that wait or are granted must not cross it. */
     @Test
     fun `requests under way do not cross a pause`() {
