Count only servers that have ended against a request

A closed connection alone is not the end of a server: servers in trouble reset connections and break off answers too.

After a server closed a connection early, the instance now connects to it once. Only if nothing listens there any more has the server ended. The request goes to no other server before that is known, which takes one round trip and 0.3 s at most; a content that has completed lately is not looked into.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/quarantine/RequestQuarantine.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/quarantine/RequestQuarantine.kt
@@ -32,7 +32,7 @@
     public fun refused(now: Timestamp): List<QuarantinedDigest> = table.list(now).filter { it.quarantined }
 
     /**
-     * Records that the process of [server] that started at [startedAt] ended its connection while it ran a request with
+     * Records that the process of [server] that started at [startedAt] ended while it worked for a request with
      * [content]. Returns whether the content is refused from now on.
      */
     public fun noteServerEnded(
@@ -82,7 +82,8 @@
     public fun entriesForNewcomer(now: Timestamp): List<QuarantineEntry> =
         refused(now).sortedByDescending { it.until }.flatMap { it.reports }.take(NEWCOMER_LIMIT)
 
-    private fun hasCompleted(content: ContentDigest, now: Timestamp): Boolean =
+    /** Returns whether a server ran a request with [content] to its end lately. */
+    public fun hasCompleted(content: ContentDigest, now: Timestamp): Boolean =
         completedAt[content]?.let { now < it + QuarantineTable.DEFAULT_RETENTION } ?: false
 
     private companion object {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -16,6 +16,7 @@
 import io.netty.channel.nio.NioIoHandler
 import org.arbutusnotch.core.dispatch.StageChange
 import org.arbutusnotch.core.forwarding.AnswerMemory
+import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.CallerLimits
 import org.arbutusnotch.core.forwarding.RouteTable
 import org.arbutusnotch.core.forwarding.ServerRegistry
@@ -104,7 +105,12 @@
     private val self = InstanceId(settings.peerAddress, Incarnation(clock.now().epochMillis))
     private val link = PeerLink(settings.peerAddress, group)
     private val quarantine = RequestQuarantine(self.address)
-    private val crashes: CrashReporter = CrashReporter(quarantine, { clock.now() }, spread = { membership.spread(it) })
+    private val crashes: CrashReporter = CrashReporter(
+        quarantine = quarantine,
+        now = { clock.now() },
+        probe = { server, onResult -> probe(server, onResult) },
+        spread = { membership.spread(it) },
+    )
     private val membership: Membership = Membership(ownRow(), link, random, crashes)
     private val registry = ServerRegistry(settings.drainTime * REMOVED_SHARE, TROUBLED_GRACE)
     private val answerMemory = AnswerMemory(ANSWER_MEMORY)
@@ -344,6 +350,14 @@
         },
     )
 
+    /** Finds out whether [server] accepts connections; nothing is sent to it. */
+    private fun probe(server: BackendServer, onResult: (Boolean) -> Unit) {
+        val request = HttpRequestMessage(RequestHead("GET", "/", emptyList()), ByteArray(0))
+        SingleCall(request, PROBE_TIME, PROBE_TIME, answerMemory, maySend = { false }) { result ->
+            onResult(result.getError() is CallEnd.Withheld)
+        }.start(socketAddress(server.address), group)
+    }
+
     private fun orderStage(change: StageChange, onNotSent: () -> Unit) {
         val server = change.server
         val fence = membership.nextFence(clock.now())
@@ -438,6 +452,9 @@
         /** Share of the fleet's retry budget that one dispatcher gives out; a second one may dispatch beside it. */
         const val DISPATCHER_SHARE = 0.5
 
+        /** Time to connect to a server that closed a connection: some round trips, since its host has just answered. */
+        val PROBE_TIME = 300.milliseconds
+
         /** Time to connect for an order to a server, and time until its answer. */
         val ORDER_TIME = 1.seconds
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -157,9 +157,9 @@
             cancelSilence()
             report(result.outcome)
             logAttempt(place.server.id, "call", result.outcome.name.lowercase(), result.detail, startedAt)
-            if (result is AttemptResult.Unknown && result.closedByServer) noteServerEnded(place.server)
             if (result is AttemptResult.Answered) context.crashes.noteCompleted(request.content)
-            onAttemptEnd(this, result)
+            val closed = result is AttemptResult.Unknown && result.closedByServer
+            noteClosed(closed, place.server) { onAttemptEnd(this, result) }
         }
 
         private fun resultOf(end: CallEnd): AttemptResult = when (end) {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -253,9 +253,10 @@
         return facts
     }
 
-    /** Records that [server] ended its connection while it worked for the request. */
-    protected fun noteServerEnded(server: BackendServer): Unit =
-        context.crashes.noteServerEnded(request.content, server, request.caller.id)
+    /** Calls [onKnown] when it is known whether [server] has ended, if [closed] tells that it closed its connection. */
+    protected fun noteClosed(closed: Boolean, server: BackendServer, onKnown: () -> Unit) {
+        if (closed) context.crashes.noteClosed(request.content, server, request.caller.id, onKnown) else onKnown()
+    }
 
     protected fun logAttempt(server: BackendServerId, part: String, outcome: String, detail: String, since: Timestamp) {
         context.counters.attempted(outcome)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -6,7 +6,9 @@
  */
 package org.arbutusnotch.forwarding.exchange
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
 import io.netty.buffer.ByteBuf
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.KeptAnswer
@@ -99,19 +101,27 @@
             maximumBytes = MAXIMUM_PREFILL_ANSWER,
             maySend = { mayRead(server) },
         ) { result ->
-            prefill = null
-            if (!finished) {
-                val handle = result.fold(
-                    success = { readHandle(it, place, startedAt) },
-                    failure = { notPrefilled(it, place, startedAt) },
-                )
-                startRun(place, handle ?: RunPart.Whole)
-            }
+            val closed = (result.getError() as? CallEnd.Broken)?.closedByServer ?: false
+            noteClosed(closed, server) { afterReading(result, place, startedAt) }
         }
         prefill = call
         call.start(socketAddress(server.address), context.group)
     }
 
+    private fun afterReading(
+        result: Result<HttpResponseMessage, CallEnd>,
+        place: GrantedPlace,
+        startedAt: Timestamp,
+    ) {
+        prefill = null
+        if (finished) return
+        val handle = result.fold(
+            success = { readHandle(it, place, startedAt) },
+            failure = { notPrefilled(it, place, startedAt) },
+        )
+        startRun(place, handle ?: RunPart.Whole)
+    }
+
     /** A prompt that has been read may be read again only as an arrival of its own. */
     override fun repeatsOf(repeated: Boolean): Int {
         val reading = if (readings > 0 && !direct) 1 else 0
@@ -145,7 +155,6 @@
             CallEnd.Withheld -> endPrefill(place, PlaceOutcome.UNUSED, "server must get no requests", startedAt, 0)
 
             is CallEnd.Broken -> {
-                if (end.closedByServer) place.prefillServer?.let { noteServerEnded(it) }
                 context.dispatch.reportSilence(place, PlacePart.PREFILL)
                 endPrefill(place, PlaceOutcome.BROKEN, end.detail, startedAt, 0)
             }
@@ -411,14 +420,14 @@
             context.answerMemory.forget(keptEvent)
             val outcome = outcomeOf(result)
             logAttempt(server.id, "run", outcome.name.lowercase(), result.detail, startedAt)
-            if (result is RunEnd.Broken && result.closedByServer) noteServerEnded(server)
             if (result is RunEnd.Completed) {
                 context.crashes.noteCompleted(request.content)
                 val elapsed = context.now() - startedAt
                 val use = PlaceUse(outcome, elapsed, facts?.slowdownPercent ?: 0)
                 context.dispatch.release(place, PlacePart.RUN, use)
             }
-            onRunEnd(this, result)
+            val closed = result is RunEnd.Broken && result.closedByServer
+            noteClosed(closed, server) { onRunEnd(this, result) }
         }
 
         private fun outcomeOf(result: RunEnd): PlaceOutcome = when (result) {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/quarantine/CrashReporter.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/quarantine/CrashReporter.kt
@@ -1,5 +1,8 @@
 /*
  * Keeps requests away from servers that would end under them.
+ *
+ * Servers also close connections of sound requests, by faults of their own or of the network. Only one at whose address
+ * nothing listens any more has ended.
  */
 package org.arbutusnotch.forwarding.quarantine
 
@@ -15,11 +18,13 @@
 /**
  * Records what becomes of requests at servers, and answers whether one may go to another server.
  *
+ * @param probe finds out whether a server listens, and passes the result to its second argument
  * @param spread sends reports to every reachable instance
  */
 internal class CrashReporter(
     private val quarantine: RequestQuarantine,
     private val now: () -> Timestamp,
+    private val probe: (BackendServer, (Boolean) -> Unit) -> Unit,
     private val spread: (List<QuarantineEntry>) -> Unit,
 ) {
     private val log = EventLog("quarantine")
@@ -27,8 +32,19 @@
     /** Returns for how long no server must get a request with [content]; null when one may. */
     fun refusedFor(content: ContentDigest): Duration? = quarantine.refusedUntil(content, now())?.let { it - now() }
 
-    /** Records that [server] ended its connection while it ran the request with [content]. */
-    fun noteServerEnded(content: ContentDigest, server: BackendServer, request: RequestId) {
+    /**
+     * Records whether [server], which closed its connection while it worked for the request with [content], has ended,
+     * and calls [onKnown] then: the request must not go to another server before.
+     */
+    fun noteClosed(content: ContentDigest, server: BackendServer, request: RequestId, onKnown: () -> Unit) {
+        if (quarantine.hasCompleted(content, now())) return onKnown()
+        probe(server) { listens ->
+            if (!listens) noteEnded(content, server, request)
+            onKnown()
+        }
+    }
+
+    private fun noteEnded(content: ContentDigest, server: BackendServer, request: RequestId) {
         val refused = quarantine.noteServerEnded(content, server.id, server.startedAt, now())
         log.info("server_ended_under_request") {
             field("request", request)
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/CrashingRequestTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/CrashingRequestTest.kt
@@ -18,6 +18,7 @@
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isIn
@@ -160,6 +161,18 @@
         expectThat(restarted.attempt("safe", "other")?.status).isEqualTo(200)
     }
 
+    /** Guards against a sound request that is refused because servers that live on broke it off (belfry-ops trouble-1). */
+    @ParameterizedTest
+    @ValueSource(strings = ["safe", "once", "stream", "resumable"])
+    fun `request that servers broke off and survived is not refused`(kind: String) {
+        val engines = ServerStage.entries.associateWith { stage ->
+            (1..3).map { server { reset() } }.map { testServer("$stage-${it.address}", it.address, stage) }
+        }
+        val instance = instance(engines.values.flatten())
+        val answers = (1..6).map { instance.attempt(kind) }
+        expectThat(answers.filter { it.isQuarantined() }).isEmpty()
+    }
+
     /** Guards against a sound request that stays refused because servers ended, or connections broke, under it. */
     @Test
     fun `request that completes later is not refused`() {
