--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
@@ -51,7 +51,7 @@
  * @property remainingMillis time left until the caller gives up
  * @property excluded servers that this request must not go to again
  * @property repeats arrivals at servers, beyond the first one of the request, that a place causes
- * @property askedBefore whether the request has had a place that no server received it in, or that it is asked for again
+ * @property askedBefore whether a place was asked for before, under another ticket
  * @property begun whether the caller has already got a part of the answer
  */
 @Serializable
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/retry/RetryBudget.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/retry/RetryBudget.kt
@@ -24,8 +24,8 @@
     public var share: Double = 1.0
 
     /**
-     * Begins to give out the fixed allowance at [now], in which another budget may have given it out. Most of it becomes
-     * available over one window, so that budgets which follow one another give out no more than one of them does.
+     * Begins to give out the fixed allowance at [now], since another budget may have given it out lately. Most of it
+     * becomes available over one window, so that budgets which follow one another give out little more than one does.
      */
     public fun beginAnew(now: Timestamp) {
         begunAt = now
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingCounters.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingCounters.kt
@@ -36,7 +36,7 @@
         }.increment()
     }
 
-    /** Counts a request that is sent to a backend server for [part]; [repeated] tells whether one received it before. */
+    /** Counts a request that is sent to a server for [part]; [repeated] tells whether one received it before. */
     fun arrived(part: String, repeated: Boolean) {
         counters.getOrPut("arrival $part" to repeated.toString()) {
             Counter.builder("arbutusnotch_arrivals").tag("part", part).tag("repeated", repeated.toString())
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -108,11 +108,7 @@
         call.start(socketAddress(server.address), context.group)
     }
 
-    private fun afterReading(
-        result: Result<HttpResponseMessage, CallEnd>,
-        place: GrantedPlace,
-        startedAt: Timestamp,
-    ) {
+    private fun afterReading(result: Result<HttpResponseMessage, CallEnd>, place: GrantedPlace, startedAt: Timestamp) {
         prefill = null
         if (finished) return
         val handle = result.fold(
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/CrashingRequestTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/CrashingRequestTest.kt
@@ -161,7 +161,7 @@
         expectThat(restarted.attempt("safe", "other")?.status).isEqualTo(200)
     }
 
-    /** Guards against a sound request that is refused because servers that live on broke it off (belfry-ops trouble-1). */
+    /** Guards against a sound request that is refused because servers broke it off that live on. */
     @ParameterizedTest
     @ValueSource(strings = ["safe", "once", "stream", "resumable"])
     fun `request that servers broke off and survived is not refused`(kind: String) {
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerAnnouncementTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerAnnouncementTest.kt
@@ -198,7 +198,7 @@
         expectThat(pause).isGreaterThan(1_300.milliseconds)
     }
 
-    /** Guards against requests of the system's own, which free memory, within the time for which a server wants none. */
+    /** Guards against requests of the system's own, which free memory, while a server wants none. */
     @Test
     fun `memory is not freed at a server that wants no requests`() {
         val rejects = CountDownLatch(1)
