Take a server for ended only when its host refuses connections

A connection that could not be opened in time counted as the end of the server too. A busy server whose queue of new connections is full, or one behind a cut link, would have counted against a sound request. Found on reading the change again; the tests of servers that end (refused) and of servers that live on (accepted) pass, a slow one is not played by a test.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -350,11 +350,11 @@
         },
     )
 
-    /** Finds out whether [server] accepts connections; nothing is sent to it. */
+    /** Finds out whether connections to [server] are refused; nothing is sent to it. */
     private fun probe(server: BackendServer, onResult: (Boolean) -> Unit) {
         val request = HttpRequestMessage(RequestHead("GET", "/", emptyList()), ByteArray(0))
         SingleCall(request, PROBE_TIME, PROBE_TIME, answerMemory, maySend = { false }) { result ->
-            onResult(result.getError() is CallEnd.Withheld)
+            onResult((result.getError() as? CallEnd.NotSent)?.refused ?: false)
         }.start(socketAddress(server.address), group)
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
@@ -26,6 +27,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import jdk.net.ExtendedSocketOptions
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 
@@ -34,8 +36,12 @@
     /** The answer is complete. */
     data object Complete : CallEnd()
 
-    /** No byte of the request was sent. */
-    data class NotSent(val detail: String) : CallEnd()
+    /**
+     * No byte of the request was sent.
+     *
+     * @property refused whether the host of the server answered that nothing listens there
+     */
+    data class NotSent(val detail: String, val refused: Boolean = false) : CallEnd()
 
     /** No byte of the request was sent, because [ServerCallListener.maySend] did not allow it. */
     data object Withheld : CallEnd()
@@ -98,7 +104,7 @@
             .connect(address)
         channel = connecting.channel()
         connecting.addListener { connected ->
-            if (!connected.isSuccess) end(CallEnd.NotSent(describe(connected.cause()))) else send()
+            if (connected.isSuccess) send() else end(notConnected(connected.cause()))
         }
     }
 
@@ -133,6 +139,10 @@
         listener.onEnd(end)
     }
 
+    /** The time limit for connecting has a subclass of the exception for a refused connection. */
+    private fun notConnected(cause: Throwable) =
+        CallEnd.NotSent(describe(cause), refused = cause is ConnectException && cause !is ConnectTimeoutException)
+
     /** A connection that a probe found dead tells of the network; only the text differs from that of a reset. */
     private fun closed(detail: String) = CallEnd.Broken(detail, closedByServer = TIMED_OUT !in detail)
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/quarantine/CrashReporter.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/quarantine/CrashReporter.kt
@@ -1,8 +1,8 @@
 /*
  * Keeps requests away from servers that would end under them.
  *
- * Servers also close connections of sound requests, by faults of their own or of the network. Only one at whose address
- * nothing listens any more has ended.
+ * Servers also close connections of sound requests, by faults of their own or of the network, and busy ones are slow to
+ * accept others. Only one whose host refuses connections to it has ended.
  */
 package org.arbutusnotch.forwarding.quarantine
 
@@ -18,7 +18,7 @@
 /**
  * Records what becomes of requests at servers, and answers whether one may go to another server.
  *
- * @param probe finds out whether a server listens, and passes the result to its second argument
+ * @param probe finds out whether connections to a server are refused, and passes the result to its second argument
  * @param spread sends reports to every reachable instance
  */
 internal class CrashReporter(
@@ -38,8 +38,8 @@
      */
     fun noteClosed(content: ContentDigest, server: BackendServer, request: RequestId, onKnown: () -> Unit) {
         if (quarantine.hasCompleted(content, now())) return onKnown()
-        probe(server) { listens ->
-            if (!listens) noteEnded(content, server, request)
+        probe(server) { refused ->
+            if (refused) noteEnded(content, server, request)
             onKnown()
         }
     }
