--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
@@ -139,11 +139,11 @@
         listener.onEnd(end)
     }
 
-    /** The time limit for connecting has a subclass of the exception for a refused connection. */
+    /** Netty reports a connection that was not opened in time by a subclass of the exception for a refused one. */
     private fun notConnected(cause: Throwable) =
         CallEnd.NotSent(describe(cause), refused = cause is ConnectException && cause !is ConnectTimeoutException)
 
-    /** A connection that a probe found dead tells of the network; only the text differs from that of a reset. */
+    /** Keep-alive probes without an answer tell of the network; only the text differs from that of a reset. */
     private fun closed(detail: String) = CallEnd.Broken(detail, closedByServer = TIMED_OUT !in detail)
 
     private fun describe(cause: Throwable?): String = cause?.message ?: cause?.javaClass?.simpleName ?: "unknown"
