--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerAnnouncements.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerAnnouncements.kt
@@ -3,6 +3,7 @@
  *
  * A server that is leaving says so in every answer, while its entry in the registry may be stale or wrong. A server
  * that rejects a request may ask this instance to pause for some time; the pause does not apply to other instances.
+ * An overloaded server names in every answer the rate of requests that it takes from all instances together.
  */
 package org.arbutusnotch.core.forwarding
 
@@ -13,6 +14,7 @@
 internal class ServerAnnouncements {
     private val leaving = BoundedMap<BackendServerId, Long>(MAXIMUM_SERVERS)
     private val pauses = BoundedMap<BackendServerId, Timestamp>(MAXIMUM_SERVERS)
+    private val limits = BoundedMap<BackendServerId, LimitObservation>(MAXIMUM_SERVERS)
 
     /** Records that the process that started at [startedAt] is leaving. Returns whether this was not yet known. */
     fun recordLeaving(id: BackendServerId, startedAt: Long): Boolean {
@@ -39,6 +41,18 @@
         return null
     }
 
+    /** Records [observation] as the latest one of its server. Returns whether the limit differs from the known one. */
+    fun recordLimit(observation: LimitObservation): Boolean {
+        val known = limitOf(observation.server, observation.startedAt)
+        if (known == null && observation.perSecond == null) return false
+        limits[observation.server] = observation
+        return known?.perSecond != observation.perSecond
+    }
+
+    /** Returns the latest observation of the process of [id] that started at [startedAt]; null when it has no limit. */
+    fun limitOf(id: BackendServerId, startedAt: Long): LimitObservation? =
+        limits[id]?.takeIf { it.startedAt == startedAt }
+
     private companion object {
         /** Limit of stored servers; more than are replaced while an outdated entry may still be listed. */
         const val MAXIMUM_SERVERS = 4_096
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
@@ -60,6 +60,9 @@
     /** Returns the end of the pause of the server with [id]; null when it is not paused at [now]. */
     public fun pausedUntil(id: BackendServerId, now: Timestamp): Timestamp? = announcements.pausedUntil(id, now)
 
+    /** Records what a server said about its request limit. Returns whether the limit differs from the known one. */
+    public fun recordLimit(observation: LimitObservation): Boolean = announcements.recordLimit(observation)
+
     /** Records that the registry failed at [now]; entries may have expired although their servers are running. */
     public fun recordOutage(now: Timestamp) {
         outageGraceUntil = maxOf(outageGraceUntil, now + outageGrace)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
@@ -55,6 +55,21 @@
     public data class Unreadable(public val text: String) : ServerPause()
 }
 
+/** Describes the request limit that a server names in an answer. */
+public sealed class ServerLimit {
+    /** The answer says nothing about a limit of the server that was asked. */
+    public data object Unknown : ServerLimit()
+
+    /** The server has no limit. */
+    public data object None : ServerLimit()
+
+    /** The server takes [perSecond] requests a second from all instances together; 0 or more, and finite. */
+    public data class Named(public val perSecond: Double) : ServerLimit()
+
+    /** The server sent a malformed limit; [text] is the received value. */
+    public data class Unreadable(public val text: String) : ServerLimit()
+}
+
 /**
  * Holds the information in the head of an answer.
  *
@@ -64,6 +79,7 @@
  * @property slowdownPercent time that work takes on the server's machine in percent of the normal time; 0 when unknown
  * @property leaving whether the server announces that it is leaving
  * @property pause pause that the server requests from this instance
+ * @property limit request limit that the server names
  */
 public data class ServerAnswer(
     public val requestId: RequestId?,
@@ -72,6 +88,7 @@
     public val slowdownPercent: Int,
     public val leaving: Boolean = false,
     public val pause: ServerPause = ServerPause.None,
+    public val limit: ServerLimit = ServerLimit.Unknown,
 )
 
 /** Translates the messages between callers and backend servers. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/AnnouncementHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/AnnouncementHandler.kt
@@ -1,14 +1,16 @@
 /*
- * Handles the announcements that backend servers send with their answers: leaving and pause.
+ * Handles the announcements that backend servers send with their answers: leaving, pause and request limit.
  */
 package org.arbutusnotch.forwarding.exchange
 
 import org.arbutusnotch.core.forwarding.BackendServer
+import org.arbutusnotch.core.forwarding.LimitObservation
 import org.arbutusnotch.core.forwarding.ServerRegistry
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.RequestId
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.forwarding.ServerAnswer
+import org.arbutusnotch.forwarding.ServerLimit
 import org.arbutusnotch.forwarding.ServerPause
 import org.arbutusnotch.telemetry.EventLog
 import kotlin.time.Duration
@@ -27,7 +29,7 @@
     private val onPause: (BackendServer, Duration) -> Unit,
 ) {
     private val log = EventLog("announcements")
-    private val serversWithLoggedPause = HashSet<BackendServerId>()
+    private val loggedValues = HashSet<Pair<String, BackendServerId>>()
 
     /** Handles the announcements in [answer], which [server] sent to [request]. */
     fun handle(server: BackendServer, answer: ServerAnswer, request: RequestId? = null) {
@@ -35,7 +37,27 @@
         when (val pause = answer.pause) {
             ServerPause.None -> Unit
             is ServerPause.For -> pause(server, minOf(pause.duration, MAXIMUM_PAUSE), request)
-            is ServerPause.Unreadable -> logUnreadablePause(server, pause.text)
+            is ServerPause.Unreadable -> logUnreadable("unreadable_pause", server, pause.text)
+        }
+        when (val limit = answer.limit) {
+            ServerLimit.Unknown -> Unit
+
+            // Only an answer to this request shows that the server itself no longer names a limit.
+            ServerLimit.None -> if (request != null && answer.requestId == request) recordLimit(server, null, request)
+
+            is ServerLimit.Named -> recordLimit(server, limit.perSecond, request)
+
+            is ServerLimit.Unreadable -> logUnreadable("unreadable_limit", server, limit.text)
+        }
+    }
+
+    private fun recordLimit(server: BackendServer, perSecond: Double?, request: RequestId?) {
+        val observation = LimitObservation(server.id, server.startedAt, perSecond, observedAt = now())
+        if (!registry.recordLimit(observation)) return
+        log.info(if (perSecond == null) "server_limit_ended" else "server_limited") {
+            field("server", server.id)
+            field("per_second", perSecond)
+            field("request", request)
         }
     }
 
@@ -60,10 +82,10 @@
         onPause(server, duration)
     }
 
-    /** Logs a malformed pause, once per server. */
-    private fun logUnreadablePause(server: BackendServer, text: String) {
-        if (serversWithLoggedPause.size >= MAXIMUM_LOGGED_SERVERS || !serversWithLoggedPause.add(server.id)) return
-        log.warn("unreadable_pause") {
+    /** Logs a malformed value as [event], once per server. */
+    private fun logUnreadable(event: String, server: BackendServer, text: String) {
+        if (loggedValues.size >= MAXIMUM_LOGGED_VALUES || !loggedValues.add(event to server.id)) return
+        log.warn(event) {
             field("server", server.id)
             field("text", text.take(MAXIMUM_LOGGED_CHARACTERS))
         }
@@ -73,8 +95,8 @@
         /** Upper bound of a pause; longer pauses, which suggest that the server is gone, are shortened to it. */
         val MAXIMUM_PAUSE = 1.hours
 
-        /** Number of servers whose malformed pauses are logged. */
-        const val MAXIMUM_LOGGED_SERVERS = 1_000
+        /** Number of malformed values that are logged. */
+        const val MAXIMUM_LOGGED_VALUES = 1_000
 
         /** Number of characters of a malformed value that are logged. */
         const val MAXIMUM_LOGGED_CHARACTERS = 40
