Keep the request limits that backend servers name

Cause: no part of the program read the limit, so that a server's share followed from its slots and its speed alone. Class: what a server says about itself reached only the instance that heard it, and only those statements that had been built in one by one.

Ruled out: repeats after rejections (the servers turned none away, 140 places for 136 calls).

Now the dispatcher of a pool spaces the requests of each limited server: calls, prompts, runs, resumed streams and repeats all need a place. An instance tells the dispatcher at once when a limit changes, with each request that it asks a place for, and with each place that it releases, so that a dispatcher never knows less than the instance for which it decides, whether it has just started, follows another one or was cut off. The latest answer counts; one without the limit ends it. An instance that decides in place of the dispatcher, or in a partitioned minority, uses only a share. Requests beyond the limits go to other servers, wait if the limits admit them in time, and are refused at once otherwise (servers_limited). Stage orders and requests that free handles do not go to limited servers.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -15,6 +15,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Describes a place that a request would take.
@@ -60,6 +61,15 @@
     /** Returns the expected time from the first event to the end of the run. */
     open fun expectedRunTime(entry: WaitingRequest): Duration = Duration.ZERO
 
+    /** Returns the average interval between requests at a rate of [perSecond]; zero when the rate is unknown. */
+    protected fun intervalOf(perSecond: Double): Duration = if (perSecond >
+        0.0
+    ) {
+        1.seconds / perSecond
+    } else {
+        Duration.ZERO
+    }
+
     protected fun medianTimePerUnit(stages: Set<ServerStage>): Duration? {
         val known = trackedServers.values
             .filter { it.server.stage in stages }
@@ -68,7 +78,10 @@
         return known.getOrNull(known.size / 2)
     }
 
-    /** Returns the servers that may take [entry] at [now]: not excluded, not paused for its holder, and healthy. */
+    /**
+     * Returns the servers that may take [entry] at [now]: not excluded, not paused for its holder, and healthy. Their
+     * capacity and request limits are not considered.
+     */
     protected fun eligibleServers(entry: WaitingRequest, now: Timestamp): List<TrackedServer> {
         val stages = trackedServers.values.groupBy { it.server.stage }
             .mapValues { (stage, servers) -> StageHealth(stage, servers, entry.domain, now) }
@@ -122,7 +135,7 @@
         val medianTime = medianCallTime()
         return eligibleServers(entry, now)
             .filter { it.places.size < it.server.slots + IN_FLIGHT_CALLS }
-            .filter { now >= it.fullUntil && !isStalled(it, medianTime, now) }
+            .filter { now >= it.fullUntil && it.limit.admits(now) && !isStalled(it, medianTime, now) }
             .minByOrNull { costMillis(it, entry, medianTime, now) }
             ?.let { PlacedRequest(PlannedPlace(it)) }
     }
@@ -155,8 +168,8 @@
     override fun expectedTimeToFirstEvent(entry: WaitingRequest, now: Timestamp): Duration = medianCallTime()
 
     override fun timePerRequest(entry: WaitingRequest): Duration {
-        val slots = trackedServers.values.sumOf { it.server.slots }
-        return if (slots == 0) Duration.ZERO else medianCallTime() / slots
+        val callsPerSlot = 1.seconds / medianCallTime()
+        return intervalOf(trackedServers.values.sumOf { it.limit.restrict(it.server.slots * callsPerSlot) })
     }
 
     private fun medianCallTime(): Duration = medianTimePerUnit(setOf(ServerStage.WHOLE)) ?: DEFAULT_CALL_TIME
@@ -241,12 +254,14 @@
 
     private fun hasRoom(tracked: TrackedServer, work: DispatchWork.Generation, now: Timestamp): Boolean {
         val used = tracked.usedTokens
-        return now >= maxOf(tracked.fullUntil, tracked.stageSwitchUntil) && tracked.places.size < engine.slots &&
+        return now >= maxOf(tracked.fullUntil, tracked.stageSwitchUntil) && tracked.limit.admits(now) &&
+            tracked.places.size < engine.slots &&
             (used == 0 || used + reservedTokens(work) <= engine.memoryTokens * USABLE_MEMORY_SHARE)
     }
 
     private fun hasPrefillCapacity(tracked: TrackedServer, now: Timestamp): Boolean =
-        tracked.places.size < MAXIMUM_PROMPTS_PER_PREFILL_SERVER && now >= tracked.stageSwitchUntil
+        tracked.places.size < MAXIMUM_PROMPTS_PER_PREFILL_SERVER && now >= tracked.stageSwitchUntil &&
+            tracked.limit.admits(now)
 
     private fun queuedPrefillTime(tracked: TrackedServer, work: DispatchWork.Generation, now: Timestamp): Duration =
         tracked.timePerUnit(medianPromptTokenTime(), now) * (tracked.queuedPromptTokens + work.promptTokens)
@@ -292,14 +307,15 @@
     override fun timePerRequest(entry: WaitingRequest): Duration {
         val work = entry.work as? DispatchWork.Generation ?: return Duration.ZERO
         val (prefill, decode) = trackedServers.values.partition { it.server.stage == ServerStage.PREFILL }
-        val prefillInterval = when {
-            prefill.isNotEmpty() -> prefillTime(entry) / prefill.size
-            decode.isNotEmpty() -> directPrefillTime(entry) / decode.size
-            else -> Duration.ZERO
+        val prefillPerSecond = prefill.sumOf { it.limit.restrict(1.seconds / prefillTime(entry)) }
+        // Decode servers also prefill prompts that wait because of the limits of all prefill servers.
+        val decodePrefills = if (prefill.all { it.limit.perSecond != null }) decode else emptyList()
+        val directPerSecond = decodePrefills.sumOf { it.limit.restrict(1.seconds / directPrefillTime(entry)) }
+        val runTimeInMemory = expectedRunTime(entry) * (reservedTokens(work).toDouble() / engine.memoryTokens)
+        val runsPerSecond = decode.sumOf {
+            it.limit.restrict(if (runTimeInMemory > Duration.ZERO) 1.seconds / runTimeInMemory else UNLIMITED)
         }
-        val memoryShare =
-            if (decode.isEmpty()) 0.0 else reservedTokens(work).toDouble() / (engine.memoryTokens * decode.size)
-        return maxOf(prefillInterval, expectedRunTime(entry) * memoryShare)
+        return maxOf(intervalOf(prefillPerSecond + directPerSecond), intervalOf(runsPerSecond))
     }
 
     override fun stageChange(demand: DemandAverage): StageChange? {
@@ -314,16 +330,20 @@
             decodeTime = timePerOutputToken * demand.outputTokens * memoryShare,
         ) ?: return null
         val changing = when (stage) {
-            ServerStage.PREFILL -> decode.filter { it.server.stage == ServerStage.DECODE && it.health.isReachable }
+            ServerStage.PREFILL -> decode.filter { it.server.stage == ServerStage.DECODE && mayChangeStage(it) }
                 .minByOrNull { it.usedTokens }
 
-            ServerStage.DECODE -> prefill.filter { it.health.isReachable }.minByOrNull { it.queuedPromptTokens }
+            ServerStage.DECODE -> prefill.filter { mayChangeStage(it) }.minByOrNull { it.queuedPromptTokens }
 
             ServerStage.WHOLE -> null
         }
         return changing?.let { StageChange(it.server, stage) }
     }
 
+    /** The order is itself a request, and a server that limits its requests is not one to rely on in another stage. */
+    private fun mayChangeStage(tracked: TrackedServer): Boolean =
+        tracked.health.isReachable && tracked.limit.perSecond == null
+
     private fun hasPrefillServer(): Boolean = trackedServers.values.any { it.server.stage == ServerStage.PREFILL }
 
     private fun directPrefillTime(entry: WaitingRequest): Duration = prefillTime(entry) * DIRECT_PREFILL_FACTOR
@@ -370,6 +390,9 @@
         /** Time per prompt token assumed until a prefill has completed. */
         val DEFAULT_PROMPT_TOKEN_TIME = 30.microseconds
 
+        /** Rate of runs, in requests per second, until the time of a run is known. */
+        const val UNLIMITED = Double.POSITIVE_INFINITY
+
         /** Time from the end of the prefill to the first event. */
         val FIRST_EVENT_TIME = 150.milliseconds
     }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -21,6 +21,7 @@
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.message.HeldPlace
 import org.arbutusnotch.core.message.HeldPlaces
+import org.arbutusnotch.core.message.LimitReport
 import org.arbutusnotch.core.message.PlaceOutcome
 import org.arbutusnotch.core.message.PlacePart
 import org.arbutusnotch.core.retry.RetryBudget
@@ -38,6 +39,9 @@
     private val demand = DemandAverage()
     private var nextStageChangeAt = Timestamp(0)
 
+    /** Fraction of the request limits of servers that this dispatcher may grant. */
+    private var requestShare = 1.0
+
     /** Time of the latest report of places in use from any holder. */
     private var lastReportAt = Timestamp(0)
 
@@ -56,6 +60,14 @@
     public val placesInUse: Int
         get() = trackedServers.values.sumOf { it.places.size }
 
+    /** Number of instances whose requests wait or were granted a place that their callers may still use. */
+    public val holderCount: Int
+        get() = (waiting.values.map { it.holder } + recentGrants.values.map { it.decision.holder }).distinct().size
+
+    /** Number of servers that limit their requests. */
+    public val limitedServers: Int
+        get() = trackedServers.values.count { it.limit.perSecond != null }
+
     /** Returns the number of retries that the retry budget still allows at [now]. */
     public fun availableRetries(now: Timestamp): Int = budget.availableRetries(now)
 
@@ -64,6 +76,12 @@
         budget.share = share
     }
 
+    /** Limits this dispatcher to [share] of the requests that servers take from all dispatchers together. */
+    public fun limitRequests(share: Double, now: Timestamp) {
+        requestShare = share
+        trackedServers.values.forEach { it.limit.useShare(share, now) }
+    }
+
     /** Replaces the servers that may get new work; [engine] is null for a pool of plain calls. */
     public fun configure(servers: List<BackendServer>, engine: EngineProfile?) {
         selection =
@@ -77,7 +95,7 @@
         servers.forEach { server ->
             val known = trackedServers[server.id]
             if (known == null || known.server.startedAt != server.startedAt) {
-                trackedServers[server.id] = TrackedServer(server)
+                trackedServers[server.id] = TrackedServer(server, requestShare)
             } else {
                 if (known.server.stage != server.stage) known.stageSwitchUntil = Timestamp(0)
                 known.server = server
@@ -87,6 +105,7 @@
 
     /** Grants, refuses or queues [request]. A repeated message gets the decision that was made for the first one. */
     public fun submit(request: DispatchRequest, now: Timestamp): List<DispatchDecision> {
+        request.limits.forEach { applyLimit(it, now) }
         val waitingEntry = waiting[request.ticket]
         val recentGrant = recentGrants[request.ticket]
         if (recentGrant != null) return listOf(recentGrant.decision)
@@ -113,6 +132,7 @@
     /** Frees a place, or cancels a waiting request, and returns the decisions that follow from it. */
     public fun release(release: DispatchRelease, now: Timestamp): List<DispatchDecision> {
         waiting.remove(release.ticket)
+        release.limit?.let { applyLimit(it, now) }
         val tracked = release.server?.let { trackedServers[it] } ?: return dispatchWaiting(now)
         val key = PlaceKey(release.ticket, release.part)
         val place = if (release.outcome == PlaceOutcome.SILENT) tracked.places[key] else tracked.places.remove(key)
@@ -191,6 +211,17 @@
         return dispatchWaiting(now)
     }
 
+    /** Applies what a server said about its request limit, and returns the decisions that follow from it. */
+    public fun limit(report: LimitReport, now: Timestamp): List<DispatchDecision> {
+        applyLimit(report, now)
+        return dispatchWaiting(now)
+    }
+
+    private fun applyLimit(report: LimitReport, now: Timestamp) {
+        val tracked = trackedServers[report.server]?.takeIf { it.server.startedAt == report.startedAt } ?: return
+        tracked.limit.observe(report.perSecond, answeredAt = now - report.ageMillis.milliseconds, now)
+    }
+
     /** Cancels [change], whose order did not reach its server; another server may be ordered at once. */
     public fun cancelStageChange(change: StageChange, now: Timestamp) {
         nextStageChangeAt = now
@@ -208,7 +239,7 @@
     }
 
     private fun refusalReason(request: DispatchRequest, entry: WaitingRequest, now: Timestamp): DispatchRefusal? {
-        val noServerReason = noServerReason(entry, now)
+        val noServerReason = noServerReason(entry, ahead = waiting.size, now)
         return when {
             noServerReason != null -> noServerReason
 
@@ -221,12 +252,14 @@
         }
     }
 
-    /** Returns the reason why no server of the pool can take [entry] in time, or null. */
-    private fun noServerReason(entry: WaitingRequest, now: Timestamp): DispatchRefusal? {
+    /** Returns the reason why no server of the pool can take [entry] in time after [ahead] other requests, or null. */
+    private fun noServerReason(entry: WaitingRequest, ahead: Int, now: Timestamp): DispatchRefusal? {
         val servers = runServers(entry)
+        val latest = maxOf(now, entry.startDeadline)
         return when {
             trackedServers.keys.none { it !in entry.excluded } -> DispatchRefusal.NO_SERVER
-            earliestUnpaused(servers, entry, now) > maxOf(now, entry.startDeadline) -> DispatchRefusal.SERVERS_PAUSED
+            earliestUnpaused(servers, entry, now) > latest -> DispatchRefusal.SERVERS_PAUSED
+            now + limitedWait(servers, ahead, now) > latest -> DispatchRefusal.SERVERS_LIMITED
             else -> null
         }
     }
@@ -239,6 +272,13 @@
     private fun earliestUnpaused(servers: List<TrackedServer>, entry: WaitingRequest, now: Timestamp): Timestamp =
         servers.minOfOrNull { it.pausedUntil(entry.holder, now) ?: now } ?: now
 
+    /** Returns the time until the request limits of [servers] admit a request after [ahead] others. */
+    private fun limitedWait(servers: List<TrackedServer>, ahead: Int, now: Timestamp): Duration {
+        val next = servers.minOfOrNull { it.limit.waitingTime(now) } ?: return Duration.ZERO
+        val perSecond = servers.sumOf { it.limit.perSecond ?: return Duration.ZERO }
+        return maxOf(next, ((ahead + 1 - servers.sumOf { it.limit.credit(now) }) / perSecond).seconds)
+    }
+
     private fun missesDeadline(entry: WaitingRequest, ahead: Int, now: Timestamp): Boolean {
         val wait = selection.timePerRequest(entry) * ahead
         return now + wait + selection.minimumTimeToFirstEvent(entry, now) >= entry.startDeadline ||
@@ -250,7 +290,7 @@
         val decisions = mutableListOf<DispatchDecision>()
         waiting.values.toList().forEach { entry ->
             val overloaded = DispatchRefusal.OVERLOADED.takeIf { missesDeadline(entry, ahead = 0, now) }
-            val refusal = noServerReason(entry, now) ?: overloaded ?: return@forEach
+            val refusal = noServerReason(entry, ahead = 0, now) ?: overloaded ?: return@forEach
             waiting.remove(entry.ticket)
             decisions += entry.refused(refusal, now)
         }
@@ -293,12 +333,14 @@
             holder = entry.holder,
             server = places.run.tracked.server.id,
             prefillServer = places.prefill?.tracked?.server?.id,
+            limited = listOfNotNull(places.run, places.prefill).any { it.tracked.limit.perSecond != null },
         )
         recentGrants[entry.ticket] = RecentGrant(decision, entry, expiresAt = entry.deadlineAt)
         return decision
     }
 
     private fun occupy(place: PlannedPlace, entry: WaitingRequest, part: PlacePart, now: Timestamp) {
+        place.tracked.limit.recordRequest(now)
         place.tracked.places[PlaceKey(entry.ticket, part)] = UsedPlace(
             holder = entry.holder,
             tokens = place.tokens,
@@ -314,6 +356,8 @@
         val wait = when (reason) {
             DispatchRefusal.SERVERS_PAUSED -> earliestUnpaused(runServers(this), this, now) - now
 
+            DispatchRefusal.SERVERS_LIMITED -> limitedWait(runServers(this), waiting.size, now)
+
             DispatchRefusal.NO_SERVER, DispatchRefusal.OVERLOADED, DispatchRefusal.RETRY_BUDGET ->
                 selection.timePerRequest(this) * waiting.size
         }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
@@ -1,5 +1,5 @@
 /*
- * The dispatcher's view of one backend server: its places in use, health, speed and pauses.
+ * The dispatcher's view of one backend server: its places in use, health, speed, pauses and request limit.
  */
 package org.arbutusnotch.core.dispatch
 
@@ -35,9 +35,11 @@
     var expiresAt: Timestamp,
 )
 
-internal class TrackedServer(var server: BackendServer) {
+/** Tracks [server]; its request limit is used up to [requestShare]. */
+internal class TrackedServer(var server: BackendServer, requestShare: Double) {
     val places = LinkedHashMap<PlaceKey, UsedPlace>()
     val health = ServerHealth()
+    val limit = RequestLimit(requestShare)
 
     /** Time per call, or per prompt token, without the slowdown that the server reported. */
     val speed = SpeedEstimate(SPEED_WEIGHT)
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/WaitingRequest.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/WaitingRequest.kt
@@ -67,12 +67,16 @@
     /** The instance that holds the request. */
     public val holder: InstanceId
 
-    /** The request may be sent to [server], after the prefill at [prefillServer] if that is not null. */
+    /**
+     * The request may be sent to [server], after the prefill at [prefillServer] if that is not null; [limited] tells
+     * whether one of them has a request limit.
+     */
     public data class Granted(
         override val ticket: TicketId,
         override val holder: InstanceId,
         public val server: BackendServerId,
         public val prefillServer: BackendServerId?,
+        public val limited: Boolean = false,
     ) : DispatchDecision
 
     /** The request waits for a place. */
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerAnnouncements.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerAnnouncements.kt
@@ -44,12 +44,11 @@
     /** Records [observation] as the latest one of its server. Returns whether the limit differs from the known one. */
     fun recordLimit(observation: LimitObservation): Boolean {
         val known = limitOf(observation.server, observation.startedAt)
-        if (known == null && observation.perSecond == null) return false
         limits[observation.server] = observation
         return known?.perSecond != observation.perSecond
     }
 
-    /** Returns the latest observation of the process of [id] that started at [startedAt]; null when it has no limit. */
+    /** Returns the latest observation of the process of [id] that started at [startedAt]; null when there is none. */
     fun limitOf(id: BackendServerId, startedAt: Long): LimitObservation? =
         limits[id]?.takeIf { it.startedAt == startedAt }
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
@@ -10,6 +10,7 @@
 package org.arbutusnotch.core.forwarding
 
 import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.time.Timestamp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -63,6 +64,13 @@
     /** Records what a server said about its request limit. Returns whether the limit differs from the known one. */
     public fun recordLimit(observation: LimitObservation): Boolean = announcements.recordLimit(observation)
 
+    /** Returns what [server] last said about its request limit in an answer to this instance; null before that. */
+    public fun limitOf(server: BackendServer): LimitObservation? = announcements.limitOf(server.id, server.startedAt)
+
+    /** Returns the request limits that the servers of [pool] have last named in answers to this instance. */
+    public fun limits(pool: PoolId): List<LimitObservation> =
+        registered.values.filter { it.pool == pool }.mapNotNull { limitOf(it) }.filter { it.perSecond != null }
+
     /** Records that the registry failed at [now]; entries may have expired although their servers are running. */
     public fun recordOutage(now: Timestamp) {
         outageGraceUntil = maxOf(outageGraceUntil, now + outageGrace)
--- /dev/null
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/LimitShare.kt
@@ -0,0 +1,36 @@
+/*
+ * Splits a limit that applies to all instances together while several of them may use it at the same time.
+ */
+package org.arbutusnotch.core.membership
+
+/**
+ * Counts the instances that this instance knows.
+ *
+ * @property known number of known instances, including this one
+ * @property reachable number of those with which messages were exchanged recently, including this one
+ */
+public data class InstanceCounts(public val known: Int, public val reachable: Int) {
+    /** Fraction of the known instances that is reachable. */
+    public val reachableShare: Double
+        get() = reachable.toDouble() / known
+
+    /** Whether more than half of the known instances are reachable; at most one part of a partition sees a majority. */
+    public val hasMajority: Boolean
+        get() = reachable * 2 > known
+}
+
+/** Decides which part of a common limit an instance may use. */
+public object LimitShare {
+    /**
+     * Returns the fraction, from 0 to 1, that this instance may use.
+     *
+     * The dispatcher of a pool uses the whole limit while it sees a majority, and in a minority the share of the
+     * instances that it reaches. An instance that decides in place of the dispatcher uses the share of the [holders]
+     * for which it decides. All shares together are therefore at most one and a half.
+     */
+    public fun of(counts: InstanceCounts, isDispatcher: Boolean, holders: Int): Double = when {
+        !isDispatcher -> minOf(1.0, holders.toDouble() / counts.known)
+        counts.hasMajority -> 1.0
+        else -> counts.reachableShare
+    }
+}
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
@@ -42,6 +42,21 @@
     ) : DispatchWork
 }
 
+/**
+ * Tells what a backend server said about its request limit in an answer to the sender.
+ *
+ * @property startedAt start of the server's process as the server reports it, in epoch milliseconds
+ * @property perSecond requests per second that the server takes from all instances together; null for no limit
+ * @property ageMillis time since the answer arrived
+ */
+@Serializable
+public data class LimitReport(
+    @SerialName("s") public val server: BackendServerId,
+    @SerialName("a") public val startedAt: Long,
+    @SerialName("n") public val perSecond: Double? = null,
+    @SerialName("m") public val ageMillis: Long = 0,
+)
+
 /**
  * Requests a place at a backend server. It is sent again with the same [ticket] until a reply arrives, and periodically
  * while the request is queued, so that a new dispatcher learns of it.
@@ -53,6 +68,8 @@
  * @property repeats attempts at servers that a place causes, beyond the first attempt of the request
  * @property askedBefore whether a place was already requested with another ticket
  * @property begun whether the caller has already received part of the answer
+ * @property limits request limits that servers of the pool have named to the holder; with them, a dispatcher never
+ * knows less than the instance for which it decides
  */
 @Serializable
 @SerialName("dispatch")
@@ -70,6 +87,7 @@
     @SerialName("r") public val repeats: Int = 0,
     @SerialName("a") public val askedBefore: Boolean = false,
     @SerialName("g") public val begun: Boolean = false,
+    @SerialName("l") public val limits: List<LimitReport> = emptyList(),
 ) : DispatchMessage
 
 /** Gives the reason why a request gets no place. */
@@ -86,6 +104,9 @@
 
     /** Every remaining server has paused the holder for longer than the request can wait. */
     SERVERS_PAUSED,
+
+    /** Every remaining server limits its requests, and the limits admit the request later than it can wait. */
+    SERVERS_LIMITED,
 }
 
 /** Answers a [DispatchRequest]. */
@@ -103,6 +124,8 @@
      * The request may go to [server].
      *
      * @property prefillServer server that prefills the prompt; null when [server] runs the whole request
+     * @property limited whether the dispatcher counts on a request limit of one of the servers; the holder then reports
+     * what their answers say about it
      */
     @Serializable
     @SerialName("dispatch-granted")
@@ -110,6 +133,7 @@
         @SerialName("t") override val ticket: TicketId,
         @SerialName("s") public val server: BackendServerId,
         @SerialName("p") public val prefillServer: BackendServerId? = null,
+        @SerialName("l") public val limited: Boolean = false,
     ) : DispatchReply
 
     /** The request gets no place; a new request is likely to get one after [retryMillis]. */
@@ -163,6 +187,7 @@
  * @property elapsedMillis time from sending the request to the end of the answer
  * @property slowdownPercent duration of work on the server's machine by its latest answer, in percent of the normal
  * duration; 0 when unknown
+ * @property limit what the server last said about its request limit; null when that is not known or not of interest
  */
 @Serializable
 @SerialName("dispatch-release")
@@ -174,6 +199,7 @@
     @SerialName("o") public val outcome: PlaceOutcome = PlaceOutcome.UNUSED,
     @SerialName("e") public val elapsedMillis: Long = 0,
     @SerialName("l") public val slowdownPercent: Int = 0,
+    @SerialName("n") public val limit: LimitReport? = null,
 ) : DispatchMessage
 
 /** Describes a place that a holder uses. */
@@ -216,6 +242,17 @@
         @SerialName("a") public val startedAt: Long,
     ) : ServerNotice
 
+    /** The server named a limit, or no longer names one. */
+    @Serializable
+    @SerialName("server-limits")
+    public data class Limit(
+        @SerialName("p") override val pool: PoolId,
+        @SerialName("r") public val report: LimitReport,
+    ) : ServerNotice {
+        override val server: BackendServerId
+            get() = report.server
+    }
+
     /** The server asks for no requests of [holder] for [pauseMillis]. */
     @Serializable
     @SerialName("server-pauses")
--- /dev/null
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/LimitShareTest.kt
@@ -0,0 +1,44 @@
+/*
+ * Tests how instances split a limit that applies to all of them together.
+ */
+package org.arbutusnotch.core.membership
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+
+class LimitShareTest {
+    /** Guards against a limit that shrinks because a few instances are down, and is then wasted. */
+    @Test
+    fun `dispatcher that sees a majority uses the whole limit`() {
+        expectThat(LimitShare.of(InstanceCounts(known = 21, reachable = 11), isDispatcher = true, holders = 3))
+            .isEqualTo(1.0)
+    }
+
+    /** Guards against the parts of a partition that together use several times the limit. */
+    @Test
+    fun `dispatchers of all parts of a partition use at most one and a half limits`() {
+        for (known in 1..30) {
+            for (firstPart in 0..known) {
+                val parts = listOf(firstPart, known - firstPart).filter { it > 0 }
+                val shares = parts.map { LimitShare.of(InstanceCounts(known, it), isDispatcher = true, holders = it) }
+                expectThat(shares.sum()).isLessThanOrEqualTo(1.5)
+            }
+        }
+    }
+
+    /** Guards against instances that each decide for themselves and together use the limit many times. */
+    @Test
+    fun `instances that decide for themselves use one limit together`() {
+        val counts = InstanceCounts(known = 21, reachable = 21)
+        val share = LimitShare.of(counts, isDispatcher = false, holders = 1)
+        expectThat(share * 21).isLessThanOrEqualTo(1.0 + 1e-9)
+    }
+
+    @Test
+    fun `instance that decides for all others uses the whole limit`() {
+        val counts = InstanceCounts(known = 3, reachable = 3)
+        expectThat(LimitShare.of(counts, isDispatcher = false, holders = 4)).isEqualTo(1.0)
+    }
+}
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -24,6 +24,7 @@
 import org.arbutusnotch.core.id.Incarnation
 import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.InstanceId
+import org.arbutusnotch.core.membership.LimitShare
 import org.arbutusnotch.core.message.DispatchRelease
 import org.arbutusnotch.core.message.DispatchReply
 import org.arbutusnotch.core.message.DispatchRequest
@@ -122,7 +123,10 @@
         recordLeaving = { server, startedAt -> registry.recordLeaving(server, startedAt) },
         poolDefinition = { publishedState.routes?.pools?.get(it) },
         newBudget = { RetryBudget(requestsPerRetry(), (settings.fixedRetries * DISPATCHER_RETRY_SHARE).toInt()) },
-        retryShare = { membership.reachableShare() },
+        retryShare = { membership.counts().reachableShare },
+        requestShare = { pool, holders ->
+            LimitShare.of(membership.counts(), dispatchClient.isDispatcher(pool), holders)
+        },
         mayOrderStageChange = { pool, now -> tenure.mayOrder(pool, now) },
         orderStageChange = { change, onNotSent -> orderStage(change, onNotSent) },
         reply = { target, reply -> deliver(target, reply) },
@@ -135,12 +139,13 @@
         send = { target, message -> deliver(target, message) },
         now = { clock.now() },
     )
-    private val tenure = DispatcherTenure({ dispatchClient.isDispatcher(it) }, { membership.seesMajority() })
+    private val tenure = DispatcherTenure({ dispatchClient.isDispatcher(it) }, { membership.counts().hasMajority })
     private val announcementHandler = AnnouncementHandler(
         registry = registry,
         now = { clock.now() },
         onLeaving = { dispatchClient.announceLeaving(it) },
         onPause = { server, time -> dispatchClient.announcePause(server.pool, server.id, time) },
+        onLimit = { server, observation -> dispatchClient.announceLimit(server, observation) },
     )
     private val context = ForwardingContext(
         clock = clock,
@@ -179,6 +184,7 @@
         front.open()
         metrics.registerGauge("arbutusnotch_dispatch_waiting") { dispatchService.queueLength }
         metrics.registerGauge("arbutusnotch_dispatch_places") { dispatchService.placesInUse }
+        metrics.registerGauge("arbutusnotch_dispatch_limited_servers") { dispatchService.limitedServers }
         metrics.registerGauge("arbutusnotch_quarantined") { quarantine.refusedDigests(clock.now()).size }
         group.execute {
             membership.replaceSeeds(settings.seeds)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -8,6 +8,7 @@
 package org.arbutusnotch.forwarding.dispatch
 
 import org.arbutusnotch.core.forwarding.BackendServer
+import org.arbutusnotch.core.forwarding.LimitObservation
 import org.arbutusnotch.core.forwarding.ServerRegistry
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.FailureDomainId
@@ -23,6 +24,7 @@
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.message.HeldPlace
 import org.arbutusnotch.core.message.HeldPlaces
+import org.arbutusnotch.core.message.LimitReport
 import org.arbutusnotch.core.message.PeerMessage
 import org.arbutusnotch.core.message.PlaceOutcome
 import org.arbutusnotch.core.message.PlacePart
@@ -55,12 +57,18 @@
     val started: Boolean = false,
 )
 
-/** Holds a place that the dispatcher granted. */
+/**
+ * Holds a place that the dispatcher granted.
+ *
+ * @property limited whether the dispatcher counts on a request limit of one of the servers
+ */
 internal data class GrantedPlace(
     val ticket: TicketId,
     val pool: PoolId,
+    val dispatcher: InstanceAddress,
     val server: BackendServer,
     val prefillServer: BackendServer?,
+    val limited: Boolean,
 )
 
 /** Describes the outcome of a [PlaceRequest]. */
@@ -133,10 +141,14 @@
             outcome = use.outcome,
             elapsedMillis = use.elapsed.inWholeMilliseconds,
             slowdownPercent = use.slowdownPercent,
+            limit = registry.limitOf(server)?.takeIf { place.limited || it.perSecond != null }?.report(),
         )
         send(dispatcherOf(place.pool), release)
     }
 
+    private fun LimitObservation.report() =
+        LimitReport(server, startedAt, perSecond, ageMillis = (now() - observedAt).inWholeMilliseconds)
+
     /** Reports that the server of [part] has sent nothing for too long; the place remains held. */
     fun reportSilentServer(place: GrantedPlace, part: PlacePart) {
         val server = if (part == PlacePart.PREFILL) place.prefillServer else place.server
@@ -153,6 +165,10 @@
     fun announcePause(pool: PoolId, server: BackendServerId, duration: Duration) =
         sendNotice(ServerNotice.Pause(pool, server, self, duration.inWholeMilliseconds))
 
+    /** Notifies the dispatcher of the pool of [server] that its request limit has changed to that of [observation]. */
+    fun announceLimit(server: BackendServer, observation: LimitObservation) =
+        sendNotice(ServerNotice.Limit(server.pool, observation.report()))
+
     private fun sendNotice(notice: ServerNotice) = send(dispatcherOf(notice.pool), notice)
 
     fun onReply(reply: DispatchReply, sender: InstanceAddress) {
@@ -162,7 +178,7 @@
             is DispatchReply.Queued -> submitted?.onQueued(now())
 
             is DispatchReply.Granted ->
-                if (submitted == null) releaseUnrequested(reply, sender) else accept(reply, submitted)
+                if (submitted == null) releaseUnrequested(reply, sender) else accept(reply, submitted, sender)
 
             is DispatchReply.Refused -> if (submitted != null) refuse(reply, submitted, sender)
         }
@@ -176,7 +192,7 @@
         reply.prefillServer?.let { send(sender, DispatchRelease(reply.ticket, pool, it, PlacePart.PREFILL)) }
     }
 
-    private fun accept(reply: DispatchReply.Granted, submitted: PendingRequest) {
+    private fun accept(reply: DispatchReply.Granted, submitted: PendingRequest, sender: InstanceAddress) {
         pending.remove(reply.ticket)
         val server = registry.findUsable(reply.server, now())
         val prefill = reply.prefillServer?.let { registry.findUsable(it, now()) }
@@ -184,7 +200,7 @@
             replaceUnusable(reply, submitted)
             return
         }
-        val place = GrantedPlace(reply.ticket, submitted.request.pool, server, prefill)
+        val place = GrantedPlace(reply.ticket, submitted.request.pool, sender, server, prefill, reply.limited)
         val parts = if (prefill == null) mutableSetOf(PlacePart.RUN) else mutableSetOf(PlacePart.RUN, PlacePart.PREFILL)
         held[reply.ticket] = HeldTicket(place, submitted.request.work, parts)
         submitted.onResult(PlaceReply.Granted(place))
@@ -281,6 +297,7 @@
                 repeats = request.retries,
                 askedBefore = request.resubmitted,
                 begun = request.started,
+                limits = registry.limits(request.pool).map { it.report() },
             ),
         )
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -29,6 +29,8 @@
  * @param poolDefinition returns the configured definition of a pool
  * @param newBudget creates the retry budget of a pool
  * @param retryShare returns the fraction of the retry budget, from 0 to 1, that this instance may grant
+ * @param requestShare returns the fraction, from 0 to 1, of the request limits of servers that this instance may grant
+ * as the dispatcher of a pool for a number of instances
  * @param mayOrderStageChange returns whether this instance is the only one that may order stage changes in a pool
  * @param orderStageChange orders a server to change its stage; calls its second argument if the order cannot be sent
  * @param reply sends a reply to the instance at an address
@@ -39,6 +41,7 @@
     private val poolDefinition: (PoolId) -> PoolDefinition?,
     private val newBudget: () -> RetryBudget,
     private val retryShare: () -> Double,
+    private val requestShare: (PoolId, Int) -> Double,
     private val mayOrderStageChange: (PoolId, Timestamp) -> Boolean,
     private val orderStageChange: (StageChange, () -> Unit) -> Unit,
     private val reply: (InstanceAddress, DispatchReply) -> Unit,
@@ -54,6 +57,10 @@
     val placesInUse: Int
         get() = dispatchers.values.sumOf { it.placesInUse }
 
+    /** Number of servers in all pools that limit their requests. */
+    val limitedServers: Int
+        get() = dispatchers.values.sumOf { it.limitedServers }
+
     fun onRequest(request: DispatchRequest, now: Timestamp) {
         deliver(request.pool, dispatcher(request.pool, now).submit(request, now), now)
     }
@@ -75,6 +82,9 @@
                 dispatcher?.let { configure(notice.pool, it, now) }
             }
 
+            is ServerNotice.Limit ->
+                deliver(notice.pool, dispatcher?.limit(notice.report, now).orEmpty(), now)
+
             is ServerNotice.Pause -> {
                 val until = now + notice.pauseMillis.milliseconds
                 val decisions = dispatcher?.pause(notice.server, notice.holder, until, now).orEmpty()
@@ -89,7 +99,7 @@
         // A delivered decision may start a request of this instance for a pool that has no dispatcher yet.
         dispatchers.entries.toList().forEach { (pool, dispatcher) ->
             dispatcher.configure(usable[pool].orEmpty(), poolDefinition(pool)?.engine)
-            dispatcher.limitRetries(retryShare())
+            limit(pool, dispatcher, now)
             deliver(pool, dispatcher.tick(now), now)
             changeStages(pool, dispatcher, now)
         }
@@ -105,11 +115,17 @@
     private fun dispatcher(pool: PoolId, now: Timestamp): PoolDispatcher = dispatchers.getOrPut(pool) {
         PoolDispatcher(newBudget()).also { newDispatcher ->
             configure(pool, newDispatcher, now)
-            newDispatcher.limitRetries(retryShare())
+            limit(pool, newDispatcher, now)
             log.info("dispatching") { field("pool", pool) }
         }
     }
 
+    /** Limits [dispatcher] to what this instance may grant while other instances may dispatch for [pool] too. */
+    private fun limit(pool: PoolId, dispatcher: PoolDispatcher, now: Timestamp) {
+        dispatcher.limitRetries(retryShare())
+        dispatcher.limitRequests(requestShare(pool, maxOf(dispatcher.holderCount, 1)), now)
+    }
+
     private fun configure(pool: PoolId, dispatcher: PoolDispatcher, now: Timestamp) =
         dispatcher.configure(servers(now).filter { it.pool == pool }, poolDefinition(pool)?.engine)
 
@@ -135,7 +151,7 @@
 
     private fun replyOf(decision: DispatchDecision): DispatchReply = when (decision) {
         is DispatchDecision.Granted ->
-            DispatchReply.Granted(decision.ticket, decision.server, decision.prefillServer)
+            DispatchReply.Granted(decision.ticket, decision.server, decision.prefillServer, decision.limited)
 
         is DispatchDecision.Queued -> DispatchReply.Queued(decision.ticket)
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/AnnouncementHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/AnnouncementHandler.kt
@@ -17,16 +17,19 @@
 import kotlin.time.Duration.Companion.hours
 
 /**
- * Stops sending requests to servers that announce in an answer that they are leaving or need a pause.
+ * Stops sending requests to servers that announce in an answer that they are leaving or need a pause, and records the
+ * request limits that they name.
  *
  * @param onLeaving is called for each answer that announces that its server is leaving
  * @param onPause is called for each answer that asks for a pause
+ * @param onLimit is called when the request limit that a server names changes, also when it ends
  */
 internal class AnnouncementHandler(
     private val registry: ServerRegistry,
     private val now: () -> Timestamp,
     private val onLeaving: (BackendServer) -> Unit,
     private val onPause: (BackendServer, Duration) -> Unit,
+    private val onLimit: (BackendServer, LimitObservation) -> Unit,
 ) {
     private val log = EventLog("announcements")
     private val loggedValues = HashSet<Pair<String, BackendServerId>>()
@@ -59,6 +62,7 @@
             field("per_second", perSecond)
             field("request", request)
         }
+        onLimit(server, observation)
     }
 
     private fun recordLeaving(server: BackendServer, request: RequestId?) {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -157,6 +157,7 @@
         log.info("place_granted") {
             field("request", request.caller.id)
             field("ticket", place.ticket)
+            field("dispatcher", place.dispatcher)
             field("pool", place.pool)
             field("server", place.server.id)
             field("prefill_server", place.prefillServer?.id)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -197,11 +197,14 @@
         val server = place?.prefillServer ?: return
         unusedHandle = null
         val free = context.protocol.freeHandle(server.id, handle.handle)
-        // A paused server gets no requests; there the handle expires by itself.
-        val mayFree = { context.registry.pausedUntil(server.id, context.now()) == null }
+        // A paused server gets no requests, a limited one only those of callers. There the handle expires by itself.
+        val mayFree = {
+            context.registry.pausedUntil(server.id, context.now()) == null &&
+                context.registry.limitOf(server)?.perSecond == null
+        }
         BufferedCall(free, CONNECT_TIMEOUT, FREE_TIMEOUT, context.answerBufferBudget, maySend = mayFree) { result ->
             result.fold(
-                success = {},
+                success = { context.announcementHandler.handle(server, context.protocol.readAnswer(it.head)) },
                 failure = { end ->
                     log.info("handle_not_freed") {
                         field("server", server.id)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
@@ -6,6 +6,7 @@
 import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.membership.FencingNumberSequence
+import org.arbutusnotch.core.membership.InstanceCounts
 import org.arbutusnotch.core.membership.InstanceTable
 import org.arbutusnotch.core.membership.InstanceView
 import org.arbutusnotch.core.membership.MembershipEvent
@@ -46,15 +47,12 @@
     /** Returns the instances with which messages were exchanged recently, without this one. */
     fun reachablePeers(): List<InstanceView> = table.reachablePeers()
 
-    /** Returns the fraction of the known instances that is reachable, including this one. */
-    fun reachableShare(): Double {
+    /** Counts the known instances and the reachable ones among them, including this one. */
+    fun counts(): InstanceCounts {
         val views = table.views()
-        return views.count { it.reachable }.toDouble() / views.size
+        return InstanceCounts(known = views.size, reachable = views.count { it.reachable })
     }
 
-    /** Whether more than half of the known instances are reachable; a partitioned minority must not give orders. */
-    fun seesMajority(): Boolean = reachableShare() > MAJORITY_SHARE
-
     fun replaceSeeds(seeds: List<InstanceAddress>) {
         table.seeds = seeds
     }
@@ -131,8 +129,6 @@
     }
 
     private companion object {
-        const val MAJORITY_SHARE = 0.5
-
         /** Time between two gossip rounds. */
         val GOSSIP_INTERVAL = 250.milliseconds
 
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchServiceTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchServiceTest.kt
@@ -49,6 +49,7 @@
             poolDefinition = { null },
             newBudget = { RetryBudget() },
             retryShare = { 1.0 },
+            requestShare = { _, _ -> 1.0 },
             mayOrderStageChange = { _, _ -> false },
             orderStageChange = { _, _ -> },
             reply = { _, reply ->
