Report the limits of servers whose entries have expired

During an outage of the store a server whose entry expired still gets work, but an instance no longer told a new dispatcher which limit it had named. Reports are also bounded in number, so that a place request always fits into a datagram, and the share of a dispatcher is computed only while a server of its pool is limited.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerAnnouncements.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerAnnouncements.kt
@@ -48,6 +48,10 @@
         return known?.perSecond != observation.perSecond
     }
 
+    /** Whether any server has named a limit in its latest answer. */
+    val hasLimits: Boolean
+        get() = limits.values.any { it.perSecond != null }
+
     /** Returns the latest observation of the process of [id] that started at [startedAt]; null when there is none. */
     fun limitOf(id: BackendServerId, startedAt: Long): LimitObservation? =
         limits[id]?.takeIf { it.startedAt == startedAt }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
@@ -67,9 +67,12 @@
     /** Returns what [server] last said about its request limit in an answer to this instance; null before that. */
     public fun limitOf(server: BackendServer): LimitObservation? = announcements.limitOf(server.id, server.startedAt)
 
-    /** Returns the request limits that the servers of [pool] have last named in answers to this instance. */
-    public fun limits(pool: PoolId): List<LimitObservation> =
-        registered.values.filter { it.pool == pool }.mapNotNull { limitOf(it) }.filter { it.perSecond != null }
+    /** Returns the request limits that the usable servers of [pool] have last named to this instance, newest first. */
+    public fun limits(pool: PoolId, now: Timestamp): List<LimitObservation> {
+        if (!announcements.hasLimits) return emptyList()
+        return usable(now).filter { it.pool == pool }.mapNotNull { limitOf(it) }.filter { it.perSecond != null }
+            .sortedByDescending { it.observedAt }
+    }
 
     /** Records that the registry failed at [now]; entries may have expired although their servers are running. */
     public fun recordOutage(now: Timestamp) {
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/LimitShare.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/LimitShare.kt
@@ -25,11 +25,11 @@
      * Returns the fraction, from 0 to 1, that this instance may use.
      *
      * The dispatcher of a pool uses the whole limit while it sees a majority, and in a minority the share of the
-     * instances that it reaches. An instance that decides in place of the dispatcher uses the share of the [holders]
-     * for which it decides. All shares together are therefore at most one and a half.
+     * instances that it reaches, so that the parts of a partition use at most one and a half limits. An instance that
+     * decides in place of the dispatcher uses the share of the instances for which it does so; [holders] counts them.
      */
-    public fun of(counts: InstanceCounts, isDispatcher: Boolean, holders: Int): Double = when {
-        !isDispatcher -> minOf(1.0, holders.toDouble() / counts.known)
+    public fun of(counts: InstanceCounts, isDispatcher: Boolean, holders: () -> Int): Double = when {
+        !isDispatcher -> (holders().toDouble() / counts.known).coerceIn(1.0 / counts.known, 1.0)
         counts.hasMajority -> 1.0
         else -> counts.reachableShare
     }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/ServerRegistryTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/ServerRegistryTest.kt
@@ -76,6 +76,32 @@
         expectThat(registry.findUsable(id, start + 2.seconds)).isNotNull()
     }
 
+    private fun observation(perSecond: Double?, startedAt: Long = 5) =
+        LimitObservation(id, startedAt, perSecond, observedAt = start)
+
+    /** Guards against a limit that is forgotten while the entry of its server has expired during an outage. */
+    @Test
+    fun `latest limit of a usable server is reported`() {
+        registry.put(server(), start)
+        expectThat(registry.recordLimit(observation(4.6))).isTrue()
+        expectThat(registry.recordLimit(observation(4.6))).isFalse()
+        expectThat(registry.limits(PoolId("pool"), start)).isEqualTo(listOf(observation(4.6)))
+        expectThat(registry.limits(PoolId("other"), start)).isEmpty()
+        registry.remove(id, start)
+        expectThat(registry.limits(PoolId("pool"), start)).isEqualTo(listOf(observation(4.6)))
+        expectThat(registry.recordLimit(observation(null))).isTrue()
+        expectThat(registry.limits(PoolId("pool"), start)).isEmpty()
+    }
+
+    /** Guards against a limit of an earlier process of the server. */
+    @Test
+    fun `restarted server has no limit`() {
+        registry.put(server(startedAt = 5), start)
+        registry.recordLimit(observation(4.6, startedAt = 5))
+        registry.put(server(startedAt = 6), start)
+        expectThat(registry.limits(PoolId("pool"), start)).isEmpty()
+    }
+
     /** Guards against an old heartbeat that replaces the entry of a later start. */
     @Test
     fun `entry of an earlier start is ignored`() {
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/LimitShareTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/LimitShareTest.kt
@@ -12,7 +12,7 @@
     /** Guards against a limit that shrinks because a few instances are down, and is then wasted. */
     @Test
     fun `dispatcher that sees a majority uses the whole limit`() {
-        expectThat(LimitShare.of(InstanceCounts(known = 21, reachable = 11), isDispatcher = true, holders = 3))
+        expectThat(LimitShare.of(InstanceCounts(known = 21, reachable = 11), isDispatcher = true) { 3 })
             .isEqualTo(1.0)
     }
 
@@ -22,7 +22,7 @@
         for (known in 1..30) {
             for (firstPart in 0..known) {
                 val parts = listOf(firstPart, known - firstPart).filter { it > 0 }
-                val shares = parts.map { LimitShare.of(InstanceCounts(known, it), isDispatcher = true, holders = it) }
+                val shares = parts.map { LimitShare.of(InstanceCounts(known, it), isDispatcher = true) { it } }
                 expectThat(shares.sum()).isLessThanOrEqualTo(1.5)
             }
         }
@@ -32,13 +32,13 @@
     @Test
     fun `instances that decide for themselves use one limit together`() {
         val counts = InstanceCounts(known = 21, reachable = 21)
-        val share = LimitShare.of(counts, isDispatcher = false, holders = 1)
+        val share = LimitShare.of(counts, isDispatcher = false) { 1 }
         expectThat(share * 21).isLessThanOrEqualTo(1.0 + 1e-9)
     }
 
     @Test
     fun `instance that decides for all others uses the whole limit`() {
         val counts = InstanceCounts(known = 3, reachable = 3)
-        expectThat(LimitShare.of(counts, isDispatcher = false, holders = 4)).isEqualTo(1.0)
+        expectThat(LimitShare.of(counts, isDispatcher = false) { 4 }).isEqualTo(1.0)
     }
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -124,8 +124,8 @@
         poolDefinition = { publishedState.routes?.pools?.get(it) },
         newBudget = { RetryBudget(requestsPerRetry(), (settings.fixedRetries * DISPATCHER_RETRY_SHARE).toInt()) },
         retryShare = { membership.counts().reachableShare },
-        requestShare = { pool, holders ->
-            LimitShare.of(membership.counts(), dispatchClient.isDispatcher(pool), holders)
+        requestShare = { pool, dispatcher ->
+            LimitShare.of(membership.counts(), dispatchClient.isDispatcher(pool)) { dispatcher.holderCount }
         },
         mayOrderStageChange = { pool, now -> tenure.mayOrder(pool, now) },
         orderStageChange = { change, onNotSent -> orderStage(change, onNotSent) },
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -297,7 +297,7 @@
                 repeats = request.retries,
                 askedBefore = request.resubmitted,
                 begun = request.started,
-                limits = registry.limits(request.pool).map { it.report() },
+                limits = registry.limits(request.pool, now).take(MAXIMUM_REPORTED_LIMITS).map { it.report() },
             ),
         )
     }
@@ -354,6 +354,9 @@
         /** Time between two reports of the places in use. */
         val REPORT_INTERVAL = 300.milliseconds
 
+        /** Request limits that a place request reports at most, so that it fits into a datagram. */
+        const val MAXIMUM_REPORTED_LIMITS = 128
+
         /** Servers that a request may exclude before it is refused. */
         const val MAXIMUM_EXCLUDED_SERVERS = 8
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -29,8 +29,7 @@
  * @param poolDefinition returns the configured definition of a pool
  * @param newBudget creates the retry budget of a pool
  * @param retryShare returns the fraction of the retry budget, from 0 to 1, that this instance may grant
- * @param requestShare returns the fraction, from 0 to 1, of the request limits of servers that this instance may grant
- * as the dispatcher of a pool for a number of instances
+ * @param requestShare returns the fraction, from 0 to 1, of the request limits of servers that a dispatcher may grant
  * @param mayOrderStageChange returns whether this instance is the only one that may order stage changes in a pool
  * @param orderStageChange orders a server to change its stage; calls its second argument if the order cannot be sent
  * @param reply sends a reply to the instance at an address
@@ -41,7 +40,7 @@
     private val poolDefinition: (PoolId) -> PoolDefinition?,
     private val newBudget: () -> RetryBudget,
     private val retryShare: () -> Double,
-    private val requestShare: (PoolId, Int) -> Double,
+    private val requestShare: (PoolId, PoolDispatcher) -> Double,
     private val mayOrderStageChange: (PoolId, Timestamp) -> Boolean,
     private val orderStageChange: (StageChange, () -> Unit) -> Unit,
     private val reply: (InstanceAddress, DispatchReply) -> Unit,
@@ -123,7 +122,7 @@
     /** Limits [dispatcher] to what this instance may grant while other instances may dispatch for [pool] too. */
     private fun limit(pool: PoolId, dispatcher: PoolDispatcher, now: Timestamp) {
         dispatcher.limitRetries(retryShare())
-        dispatcher.limitRequests(requestShare(pool, maxOf(dispatcher.holderCount, 1)), now)
+        if (dispatcher.limitedServers > 0) dispatcher.limitRequests(requestShare(pool, dispatcher), now)
     }
 
     private fun configure(pool: PoolId, dispatcher: PoolDispatcher, now: Timestamp) =
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/RequestLimitTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/RequestLimitTest.kt
@@ -5,13 +5,13 @@
 
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.ServerStage
-import org.arbutusnotch.core.membership.RendezvousHash
 import org.arbutusnotch.forwarding.fixture.AnswerWriter
 import org.arbutusnotch.forwarding.fixture.InstanceFixture
 import org.arbutusnotch.forwarding.fixture.LimitedServer
 import org.arbutusnotch.forwarding.fixture.ReceivedResponse
 import org.arbutusnotch.forwarding.fixture.StandInStore
 import org.arbutusnotch.forwarding.fixture.awaitUntil
+import org.arbutusnotch.forwarding.fixture.dispatcherOf
 import org.arbutusnotch.forwarding.fixture.testServer
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
@@ -59,9 +59,6 @@
         return listOf(first) + (2..count).map { instance(servers, seeds = listOf(first.peer)) }
     }
 
-    private fun List<InstanceFixture>.dispatcher(): InstanceFixture =
-        single { it.peer == RendezvousHash.select("calls", map { instance -> instance.peer }) { peer -> peer } }
-
     private fun InstanceFixture.send(route: String = "once"): ReceivedResponse? =
         call("/$route/x", "request-${requestCount.incrementAndGet()}", "wait: 1000\r\ntokens: 100,10\r\n")
 
@@ -158,8 +155,8 @@
     fun `limit is kept while dispatchers follow one another`() {
         val servers = listOf(limitedServer(perSecond = 4.0), limitedServer(perSecond = 3.0))
         val instances = instances(count = 4, entriesOf(*servers.toTypedArray()))
-        val firstDispatcher = instances.dispatcher()
-        val secondDispatcher = (instances - firstDispatcher).dispatcher()
+        val firstDispatcher = instances.dispatcherOf("calls")
+        val secondDispatcher = (instances - firstDispatcher).dispatcherOf("calls")
         val callers = instances - firstDispatcher - secondDispatcher
         val stopping = thread {
             listOf(firstDispatcher, secondDispatcher).forEach { dispatcher ->
