Tell new dispatchers what backend servers have announced

A server that had announced in an answer that it leaves got requests of other instances again once another instance dispatched for its pool, while its entry in the store was still outdated.

An instance now sends a new or restarted dispatcher everything that the servers of its pool have announced, request limits included, and repeats it with each request for a place, since datagrams get lost.

Reporting with requests alone did not suffice: the test failed once when an instance that did not know was the first to ask the new dispatcher.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
@@ -80,10 +80,21 @@
     }
 
     /** Returns the servers that may get new work at [now], including those that are paused for this instance. */
-    public fun usable(now: Timestamp): List<BackendServer> {
+    public fun usable(now: Timestamp): List<BackendServer> =
+        usableByEntry(now).filterNot { announcements.isLeaving(it) }
+
+    /** Returns the servers of [pool] that have announced that they are leaving although their entries do not say so. */
+    public fun leavingDespiteEntry(pool: PoolId, now: Timestamp): List<BackendServer> =
+        usableByEntry(now).filter { it.pool == pool && announcements.isLeaving(it) }
+
+    /** Returns the pools with servers for which [limits] or [leavingDespiteEntry] returns something. */
+    public fun poolsWithAnnouncements(now: Timestamp): Set<PoolId> = usableByEntry(now)
+        .filter { announcements.isLeaving(it) || limitOf(it)?.perSecond != null }
+        .map { it.pool }.toSet()
+
+    private fun usableByEntry(now: Timestamp): List<BackendServer> {
         removeExpired(now)
-        return (registered.values.filter { !it.leaving } + removed.values.map { it.server })
-            .filterNot { announcements.isLeaving(it) }
+        return registered.values.filter { !it.leaving } + removed.values.map { it.server }
     }
 
     /** Returns the server with [id] if this instance may send it new work at [now]. */
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
@@ -57,6 +57,17 @@
     @SerialName("m") public val ageMillis: Long = 0,
 )
 
+/**
+ * Tells that a backend server has announced in an answer that it is leaving.
+ *
+ * @property startedAt start of the server's process as the server reports it, in epoch milliseconds
+ */
+@Serializable
+public data class LeavingReport(
+    @SerialName("s") public val server: BackendServerId,
+    @SerialName("a") public val startedAt: Long,
+)
+
 /**
  * Requests a place at a backend server. It is sent again with the same [ticket] until a reply arrives, and periodically
  * while the request is queued, so that a new dispatcher learns of it.
@@ -68,8 +79,10 @@
  * @property repeats attempts at servers that a place causes, beyond the first attempt of the request
  * @property askedBefore whether a place was already requested with another ticket
  * @property begun whether the caller has already received part of the answer
- * @property limits request limits that servers of the pool have named to the holder; with them, a dispatcher never
- * knows less than the instance for which it decides
+ * @property limits request limits that servers of the pool have named to the holder; with them and [leaving], a
+ * dispatcher never knows less than the instance for which it decides
+ * @property leaving servers of the pool that have announced to the holder that they are leaving, although their entries
+ * do not say so
  */
 @Serializable
 @SerialName("dispatch")
@@ -88,6 +101,7 @@
     @SerialName("a") public val askedBefore: Boolean = false,
     @SerialName("g") public val begun: Boolean = false,
     @SerialName("l") public val limits: List<LimitReport> = emptyList(),
+    @SerialName("v") public val leaving: List<LeavingReport> = emptyList(),
 ) : DispatchMessage
 
 /** Gives the reason why a request gets no place. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -135,7 +135,7 @@
         self = self,
         domain = settings.failureDomain,
         registry = registry,
-        candidates = { membership.serving().map { it.address } },
+        candidates = { membership.serving().map { it.instance } },
         send = { target, message -> deliver(target, message) },
         now = { clock.now() },
     )
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -24,6 +24,7 @@
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.message.HeldPlace
 import org.arbutusnotch.core.message.HeldPlaces
+import org.arbutusnotch.core.message.LeavingReport
 import org.arbutusnotch.core.message.LimitReport
 import org.arbutusnotch.core.message.PeerMessage
 import org.arbutusnotch.core.message.PlaceOutcome
@@ -93,14 +94,14 @@
 /**
  * Tracks the pending place requests and the held places of this instance.
  *
- * @param candidates returns the addresses of the instances that may dispatch, including this one while it serves
+ * @param candidates returns the instances that may dispatch, including this one while it serves
  * @param send delivers a message to the instance at an address, which may be this one
  */
 internal class DispatchClient(
     private val self: InstanceId,
     private val domain: FailureDomainId,
     private val registry: ServerRegistry,
-    private val candidates: () -> List<InstanceAddress>,
+    private val candidates: () -> List<InstanceId>,
     private val send: (InstanceAddress, PeerMessage) -> Unit,
     private val now: () -> Timestamp,
 ) {
@@ -111,6 +112,9 @@
     private var ticketCount = 0L
     private var nextReportAt = Timestamp(0)
 
+    /** Dispatchers that were sent everything that the servers of their pool have announced. */
+    private val informedDispatchers = HashMap<PoolId, InstanceId>()
+
     /** Requests a place; [onResult] may be called before this method returns. */
     fun requestPlace(request: PlaceRequest, onResult: (PlaceReply) -> Unit): TicketId {
         ticketCount += 1
@@ -256,11 +260,30 @@
         }
         if (now < nextReportAt) return
         nextReportAt = now + REPORT_INTERVAL
+        informNewDispatchers(now)
         held.values.groupBy { it.place.pool }.forEach { (pool, tickets) ->
             send(dispatcherOf(pool), HeldPlaces(self, pool, tickets.flatMap { it.heldPlaces() }))
         }
     }
 
+    /** Sends each dispatcher that is new or has restarted what the servers of its pool have announced. */
+    private fun informNewDispatchers(now: Timestamp) {
+        registry.poolsWithAnnouncements(now).forEach { pool ->
+            val dispatcher = dispatcherInstance(pool)
+            if (informedDispatchers.put(pool, dispatcher) == dispatcher) return@forEach
+            reportedLimits(pool, now).forEach { send(dispatcher.address, ServerNotice.Limit(pool, it)) }
+            reportedLeaving(pool, now)
+                .forEach { send(dispatcher.address, ServerNotice.Leaving(pool, it.server, it.startedAt)) }
+        }
+    }
+
+    private fun reportedLimits(pool: PoolId, now: Timestamp): List<LimitReport> =
+        registry.limits(pool, now).take(MAXIMUM_REPORTED_LIMITS).map { it.report() }
+
+    private fun reportedLeaving(pool: PoolId, now: Timestamp): List<LeavingReport> =
+        registry.leavingDespiteEntry(pool, now).take(MAXIMUM_REPORTED_LEAVING)
+            .map { LeavingReport(it.id, it.startedAt) }
+
     private fun resend(ticket: TicketId, submitted: PendingRequest, now: Timestamp) {
         // An earlier request of the same tick may have been answered synchronously and ended this one.
         if (pending[ticket] !== submitted) return
@@ -297,7 +320,8 @@
                 repeats = request.retries,
                 askedBefore = request.resubmitted,
                 begun = request.started,
-                limits = registry.limits(request.pool, now).take(MAXIMUM_REPORTED_LIMITS).map { it.report() },
+                limits = reportedLimits(request.pool, now),
+                leaving = reportedLeaving(request.pool, now),
             ),
         )
     }
@@ -305,9 +329,11 @@
     /** Whether this instance is the dispatcher of [pool] in its own membership view. */
     fun isDispatcher(pool: PoolId): Boolean = candidates().isNotEmpty() && dispatcherOf(pool) == self.address
 
-    private fun dispatcherOf(pool: PoolId): InstanceAddress {
-        val available = candidates().filter { it !in backoffUntil }
-        return RendezvousHash.select(pool.value, available) { it.value } ?: self.address
+    private fun dispatcherOf(pool: PoolId): InstanceAddress = dispatcherInstance(pool).address
+
+    private fun dispatcherInstance(pool: PoolId): InstanceId {
+        val available = candidates().filter { it.address !in backoffUntil }
+        return RendezvousHash.select(pool.value, available) { it.address.value } ?: self
     }
 
     private class PendingRequest(
@@ -357,6 +383,9 @@
         /** Request limits that a place request reports at most, so that it fits into a datagram. */
         const val MAXIMUM_REPORTED_LIMITS = 128
 
+        /** Leaving servers that a place request reports at most; a grant of any other one is replaced by another. */
+        const val MAXIMUM_REPORTED_LEAVING = 32
+
         /** Servers that a request may exclude before it is refused. */
         const val MAXIMUM_EXCLUDED_SERVERS = 8
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -61,7 +61,12 @@
         get() = dispatchers.values.sumOf { it.limitedServers }
 
     fun onRequest(request: DispatchRequest, now: Timestamp) {
-        deliver(request.pool, dispatcher(request.pool, now).submit(request, now), now)
+        val dispatcher = dispatcher(request.pool, now)
+        if (request.leaving.isNotEmpty()) {
+            request.leaving.forEach { recordLeaving(it.server, it.startedAt) }
+            configure(request.pool, dispatcher, now)
+        }
+        deliver(request.pool, dispatcher.submit(request, now), now)
     }
 
     fun onRelease(release: DispatchRelease, now: Timestamp) {
@@ -82,7 +87,7 @@
             }
 
             is ServerNotice.Limit ->
-                deliver(notice.pool, dispatcher?.limit(notice.report, now).orEmpty(), now)
+                deliver(notice.pool, dispatcher(notice.pool, now).limit(notice.report, now), now)
 
             is ServerNotice.Pause -> {
                 val until = now + notice.pauseMillis.milliseconds
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/RequestLimitTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/RequestLimitTest.kt
@@ -118,6 +118,21 @@
         expectThat(server.arrivalCount).isLessThanOrEqualTo(4)
     }
 
+    /** Guards against a new dispatcher that gives a server the full load until one of its answers names the limit. */
+    @Test
+    fun `limit is known to the dispatcher that follows`() {
+        val server = limitedServer(perSecond = 1.0)
+        val instances = instances(count = 4, entriesOf(server))
+        val dispatcher = instances.dispatcherOf("calls")
+        val (informed, other) = instances - dispatcher - (instances - dispatcher).dispatcherOf("calls")
+        expectThat(informed.send()?.status).isEqualTo(200)
+        dispatcher.close()
+        Thread.sleep(DISPATCHER_CHANGE_MILLIS)
+        val before = server.arrivalCount
+        load(listOf(other), perSecond = 100, duration = 500.milliseconds)
+        expectThat(server.arrivalCount - before).isLessThanOrEqualTo(4)
+    }
+
     /** Guards against repeats of failed calls that are not counted. */
     @Test
     fun `repeated calls count against the limit`() {
@@ -232,6 +247,9 @@
         /** Time from the first answer with a limit until the limit must be met by all instances. */
         val GRACE = 500.milliseconds
 
+        /** Time in milliseconds within which all instances use the dispatcher that follows a stopped one. */
+        const val DISPATCHER_CHANGE_MILLIS = 1_000L
+
         /** Maximum time until a request that no server will accept is refused. */
         val MAXIMUM_REFUSAL_TIME = 300.milliseconds
     }
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerAnnouncementTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerAnnouncementTest.kt
@@ -8,7 +8,9 @@
 import org.arbutusnotch.forwarding.fixture.InstanceFixture
 import org.arbutusnotch.forwarding.fixture.ReceivedResponse
 import org.arbutusnotch.forwarding.fixture.ScriptedServer
+import org.arbutusnotch.forwarding.fixture.StandInStore
 import org.arbutusnotch.forwarding.fixture.awaitUntil
+import org.arbutusnotch.forwarding.fixture.dispatcherOf
 import org.arbutusnotch.forwarding.fixture.testServer
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
@@ -77,6 +79,34 @@
         expectThat(first.requests).hasSize(1)
     }
 
+    /** Guards against a new dispatcher that sends other instances to a server that has announced that it is leaving. */
+    @Test
+    fun `leaving server is known to the dispatcher that follows`() {
+        val store = StandInStore().also { resources += it }
+        val first = server(leaving)
+        val slow = server {
+            Thread.sleep(50)
+            staying()
+        }
+        val entries = listOf(testServer("a", first.address), testServer("b", slow.address))
+        val instances = mutableListOf<InstanceFixture>()
+        repeat(4) {
+            val seeds = instances.take(1).map { it.peer }
+            instances += InstanceFixture(servers = entries, sharedStore = store, seeds = seeds).also { resources += it }
+        }
+        val dispatcher = instances.dispatcherOf("calls")
+        val (informed, other) = instances - dispatcher - (instances - dispatcher).dispatcherOf("calls")
+        val callers = (1..20).map { number -> thread { informed.call("/once/x", "first-$number") } }
+        callers.forEach { it.join() }
+        val requestsBefore = first.requests.size
+        expectThat(requestsBefore).isGreaterThan(0)
+        dispatcher.close()
+        Thread.sleep(DISPATCHER_CHANGE_MILLIS)
+        val otherCallers = (1..20).map { number -> thread { other.call("/once/x", "other-$number") } }
+        otherCallers.forEach { it.join() }
+        expectThat(first.requests).hasSize(requestsBefore)
+    }
+
     /** Guards against a server that stays excluded after it was restarted under the same id. */
     @Test
     fun `restarted server with the same id is used`() {
@@ -277,5 +307,8 @@
     private companion object {
         /** Maximum time until a request that no server will accept is refused. */
         val MAXIMUM_REFUSAL_TIME = 300.milliseconds
+
+        /** Time in milliseconds within which all instances use the dispatcher that follows a stopped one. */
+        const val DISPATCHER_CHANGE_MILLIS = 1_000L
     }
 }
