Simulate the request limits of servers in a fleet that fails

Seeded, in simulated time, with the dispatch client and service as they run: messages are lost and delayed; instances restart, freeze, are cut off and wrongly hold others for unreachable.

--- /dev/null
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/dispatch/RequestLimitSimulationTest.kt
@@ -0,0 +1,65 @@
+/*
+ * Tests in simulated time that instances keep request limits together while they fail.
+ *
+ * The property `limit.seeds` sets the number of simulations for a longer run by hand.
+ */
+package org.arbutusnotch.forwarding.dispatch
+
+import org.arbutusnotch.core.time.Timestamp
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isGreaterThanOrEqualTo
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+class RequestLimitSimulationTest {
+    private val seeds = 1..Integer.getInteger("limit.seeds", DEFAULT_SEEDS)
+
+    private fun servers() = listOf(
+        SimulatedServer("a", slots = 6, limit = 4.6),
+        SimulatedServer("b", slots = 6, limit = 0.8),
+        SimulatedServer("c", slots = 6),
+    )
+
+    private fun simulate(seed: Int): SimulatedFleet = SimulatedFleet(size = 9, servers(), seed).also {
+        it.run(duration = 1.minutes, perSecond = 80.0, faultInterval = 1.seconds)
+    }
+
+    private fun mostInWindow(times: List<Timestamp>): Int =
+        times.maxOfOrNull { start -> times.count { it >= start && it - start < WINDOW } } ?: 0
+
+    private fun allowed(limit: Double): Int = (1.5 * limit * (WINDOW / 1.seconds)).toInt() + 5
+
+    /** Guards against limits that are exceeded while instances restart, freeze, are cut off or disagree. */
+    @Test
+    fun `limits are kept while instances fail`() {
+        val excesses = seeds.flatMap { seed ->
+            val fleet = simulate(seed)
+            fleet.servers.filter { it.limit != null }.mapNotNull { server ->
+                val most = mostInWindow(fleet.countedArrivals(server))
+                val allowed = allowed(server.limit ?: 0.0)
+                "seed $seed, server ${server.entry.id}: $most of $allowed".takeIf { most > allowed }
+            }
+        }
+        expectThat(excesses).isEmpty()
+    }
+
+    /** Guards against a limited server that gets hardly any work while instances fail. */
+    @Test
+    fun `limited servers are used while instances fail`() {
+        seeds.forEach { seed ->
+            simulate(seed).servers.forEach { server ->
+                val limit = server.limit ?: return@forEach
+                expectThat(server.arrivals.size.toDouble()).isGreaterThanOrEqualTo(limit * 60 * 0.6)
+            }
+        }
+    }
+
+    private companion object {
+        val WINDOW = 4.seconds
+
+        /** Simulations in a run of CI; they take a few seconds. */
+        const val DEFAULT_SEEDS = 6
+    }
+}
