Count refused instances as holders of a substitute dispatcher

A dispatcher that decides in place of another one before membership has made it the dispatcher grants limits by the share of the instances for which it does so. Only instances with waiting or granted requests counted, so that a substitute whose servers are all limited refused everything at once and stayed at the smallest share for up to a second and a half. Found by reading; the new test counted 0 holders instead of 5 before.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -62,12 +62,9 @@
     open fun expectedRunTime(entry: WaitingRequest): Duration = Duration.ZERO
 
     /** Returns the average interval between requests at a rate of [perSecond]; zero when the rate is unknown. */
-    protected fun intervalOf(perSecond: Double): Duration = if (perSecond >
-        0.0
-    ) {
-        1.seconds / perSecond
-    } else {
-        Duration.ZERO
+    protected fun intervalOf(perSecond: Double): Duration {
+        if (perSecond <= 0.0) return Duration.ZERO
+        return 1.seconds / perSecond
     }
 
     protected fun medianTimePerUnit(stages: Set<ServerStage>): Duration? {
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -13,6 +13,7 @@
 import org.arbutusnotch.core.forwarding.EngineProfile
 import org.arbutusnotch.core.forwarding.ServerStage
 import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.id.TicketId
 import org.arbutusnotch.core.message.DispatchRefusal
@@ -37,6 +38,9 @@
     private val waiting = LinkedHashMap<TicketId, WaitingRequest>()
     private val recentGrants = LinkedHashMap<TicketId, RecentGrant>()
     private val demand = DemandAverage()
+
+    /** Time until which each instance that has requested a place counts as a holder. */
+    private val recentHolders = HashMap<InstanceAddress, Timestamp>()
     private var nextStageChangeAt = Timestamp(0)
 
     /** Fraction of the request limits of servers that this dispatcher may grant. */
@@ -60,9 +64,9 @@
     public val placesInUse: Int
         get() = trackedServers.values.sumOf { it.places.size }
 
-    /** Number of instances whose requests wait or were granted a place that their callers may still use. */
+    /** Number of instances that have recently requested a place. */
     public val holderCount: Int
-        get() = (waiting.values.map { it.holder } + recentGrants.values.map { it.decision.holder }).distinct().size
+        get() = recentHolders.size
 
     /** Number of servers that limit their requests. */
     public val limitedServers: Int
@@ -105,6 +109,7 @@
 
     /** Grants, refuses or queues [request]. A repeated message gets the decision that was made for the first one. */
     public fun submit(request: DispatchRequest, now: Timestamp): List<DispatchDecision> {
+        recentHolders[request.holder.address] = now + RECENT_HOLDER_TIME
         request.limits.forEach { applyLimit(it, now) }
         val waitingEntry = waiting[request.ticket]
         val recentGrant = recentGrants[request.ticket]
@@ -234,6 +239,7 @@
     public fun tick(now: Timestamp): List<DispatchDecision> {
         trackedServers.values.forEach { tracked -> tracked.places.values.removeIf { it.expiresAt <= now } }
         recentGrants.values.removeIf { it.expiresAt <= now }
+        recentHolders.values.removeIf { it <= now }
         waiting.values.removeIf { it.expiresAt <= now }
         return dispatchWaiting(now)
     }
@@ -383,6 +389,9 @@
         /** Time without new runs for a server that rejected one: it has less capacity than this dispatcher assumes. */
         val REJECTION_PAUSE = 300.milliseconds
 
+        /** Time for which an instance counts as a holder; most instances request a place more often. */
+        val RECENT_HOLDER_TIME = 2.seconds
+
         /** Time within which every holder reports at least once. */
         val REPORT_ROUND = 350.milliseconds
 
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/LimitedServerDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/LimitedServerDispatchTest.kt
@@ -9,6 +9,9 @@
 import org.arbutusnotch.core.forwarding.EngineProfile
 import org.arbutusnotch.core.forwarding.ServerStage
 import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.Incarnation
+import org.arbutusnotch.core.id.InstanceAddress
+import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.message.DispatchRefusal
 import org.arbutusnotch.core.message.DispatchRelease
 import org.arbutusnotch.core.message.DispatchWork
@@ -200,6 +203,20 @@
         expectThat(limited).isIn(70..100)
     }
 
+    /** Guards against a substitute that refuses everything, because its share counts only what it granted. */
+    @Test
+    fun `instances whose requests were refused count as holders for a while`() {
+        val fixture = DispatchFixture(listOf(server("a")))
+        fixture.limit("a", 0.2)
+        val holders = (1..5).map { InstanceId(InstanceAddress("10.0.0.$it:1"), Incarnation(1)) }
+        val decisions = holders.flatMap { fixture.submit(fixture.request(DispatchWork.Call, holder = it)) }
+        expectThat(decisions.refused()).hasSize(5)
+        expectThat(fixture.dispatcher.holderCount).isEqualTo(5)
+        fixture.advance(3.seconds)
+        fixture.dispatcher.tick(fixture.now)
+        expectThat(fixture.dispatcher.holderCount).isEqualTo(0)
+    }
+
     /** Guards against a limit that is applied to one stage only. */
     @Test
     fun `prompts and runs both use the limits of their servers`() {
