End a request limit with answers that have no request id

The limit of a prefill server stayed for ever: only answers that repeat the id of their request ended one, and answers to prefills may have none. Only an answer that names another request may be older than the limit and is still passed over.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/AnnouncementHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/AnnouncementHandler.kt
@@ -45,8 +45,9 @@
         when (val limit = answer.limit) {
             ServerLimit.Unknown -> Unit
 
-            // Only an answer to this request shows that the server itself no longer names a limit.
-            ServerLimit.None -> if (request != null && answer.requestId == request) recordLimit(server, null, request)
+            // An answer to another request may be older than the limit. Answers to prefills may have no id.
+            ServerLimit.None ->
+                if (answer.requestId == null || answer.requestId == request) recordLimit(server, null, request)
 
             is ServerLimit.Named -> recordLimit(server, limit.perSecond, request)
 
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/RequestLimitTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/RequestLimitTest.kt
@@ -197,6 +197,34 @@
         expectThat(responses.mapNotNull { it?.status }).hasSize(30).all { isEqualTo(200) }
     }
 
+    /** Guards against a prefill server that stays limited because its answers do not repeat the id of the request. */
+    @Test
+    fun `limit of a prefill server ends with an answer without a request id`() {
+        val prefill = limitedServer(perSecond = 0.5) { headers ->
+            write("HTTP/1.1 200 OK\r\n${headers}Content-Length: 8\r\n\r\nhandle-1")
+        }
+        val decode = limitedServer(perSecond = null) { headers ->
+            write("HTTP/1.1 200 OK\r\nid: ${request.header("id")}\r\nseal: s\r\n$headers")
+            write("Transfer-Encoding: chunked\r\n\r\n")
+            event(1)
+            endOfStream()
+        }
+        val entries = listOf(
+            testServer("p", prefill.address, ServerStage.PREFILL),
+            testServer("d", decode.address, ServerStage.DECODE),
+        )
+        val instance = instance(entries)
+        instance.send("stream")
+        prefill.namedLimit = null
+        awaitUntil("a prefill without the limit") {
+            instance.send("stream")
+            prefill.arrivalCount > 1
+        }
+        val before = prefill.arrivalCount
+        repeat(6) { expectThat(instance.send("stream")?.status).isEqualTo(200) }
+        expectThat(prefill.arrivalCount - before).isEqualTo(6)
+    }
+
     /** Guards against a malformed value that lifts the limit that was named before. */
     @Test
     fun `malformed limit neither sets nor ends a limit`() {
