--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -217,7 +217,7 @@
     }
 
     /** Applies what a server said about its request limit, and returns the decisions that follow from it. */
-    public fun limit(report: LimitReport, now: Timestamp): List<DispatchDecision> {
+    public fun updateLimit(report: LimitReport, now: Timestamp): List<DispatchDecision> {
         applyLimit(report, now)
         return dispatchWaiting(now)
     }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/LimitedServerDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/LimitedServerDispatchTest.kt
@@ -42,7 +42,7 @@
         LimitReport(BackendServerId(server), startedAt, perSecond, age.inWholeMilliseconds)
 
     private fun DispatchFixture.limit(server: String, perSecond: Double?, age: Duration = Duration.ZERO) =
-        dispatcher.limit(report(server, perSecond, age), now)
+        dispatcher.updateLimit(report(server, perSecond, age), now)
 
     /** Releases a call with what its server says about its limit. */
     private fun DispatchFixture.releaseCall(granted: DispatchDecision.Granted, limit: LimitReport? = null) =
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -87,7 +87,7 @@
             }
 
             is ServerNotice.Limit ->
-                deliver(notice.pool, dispatcher(notice.pool, now).limit(notice.report, now), now)
+                deliver(notice.pool, dispatcher(notice.pool, now).updateLimit(notice.report, now), now)
 
             is ServerNotice.Pause -> {
                 val until = now + notice.pauseMillis.milliseconds
@@ -103,7 +103,7 @@
         // A delivered decision may start a request of this instance for a pool that has no dispatcher yet.
         dispatchers.entries.toList().forEach { (pool, dispatcher) ->
             dispatcher.configure(usable[pool].orEmpty(), poolDefinition(pool)?.engine)
-            limit(pool, dispatcher, now)
+            limitToShare(pool, dispatcher, now)
             deliver(pool, dispatcher.tick(now), now)
             changeStages(pool, dispatcher, now)
         }
@@ -119,13 +119,13 @@
     private fun dispatcher(pool: PoolId, now: Timestamp): PoolDispatcher = dispatchers.getOrPut(pool) {
         PoolDispatcher(newBudget()).also { newDispatcher ->
             configure(pool, newDispatcher, now)
-            limit(pool, newDispatcher, now)
+            limitToShare(pool, newDispatcher, now)
             log.info("dispatching") { field("pool", pool) }
         }
     }
 
     /** Limits [dispatcher] to what this instance may grant while other instances may dispatch for [pool] too. */
-    private fun limit(pool: PoolId, dispatcher: PoolDispatcher, now: Timestamp) {
+    private fun limitToShare(pool: PoolId, dispatcher: PoolDispatcher, now: Timestamp) {
         dispatcher.limitRetries(retryShare())
         if (dispatcher.limitedServers > 0) dispatcher.limitRequests(requestShare(pool, dispatcher), now)
     }
