Keep the platform's name for request limits out of peer messages

The new notice between instances was called as the platform's header is, apart from its last letter, and PlatformNamesTest did not look for the headers of announcements. The message has not landed before, so no other version speaks it; behaviour is unchanged.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
@@ -258,7 +258,7 @@
 
     /** The server named a limit, or no longer names one. */
     @Serializable
-    @SerialName("server-limits")
+    @SerialName("server-names-limit")
     public data class Limit(
         @SerialName("p") override val pool: PoolId,
         @SerialName("r") public val report: LimitReport,
