--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -296,7 +296,16 @@
         onKnown: (crashed: Boolean) -> Unit,
     ) {
         if (end !is CallEnd.Complete || !end.endedByClose) return onKnown(false)
-        context.crashReporter.onUnframedEnd(closedRun(server, begunAt), onKnown)
+        val run = closedRun(server, begunAt)
+        context.crashReporter.onUnframedEnd(run) { crashed ->
+            log.info("unframed_end_checked") {
+                field("request", request.caller.id)
+                field("server", server.id)
+                field("crashed", crashed)
+                field("checked_millis", (context.now() - run.closedAt).inWholeMilliseconds)
+            }
+            onKnown(crashed)
+        }
     }
 
     /**
