Do not take comments at the end of a stream for an event that was broken off

Callers saw: a sound stream that ends with a comment line, as keep-alive comments of servers are, was broken off instead of ended; one that may be resumed was sent to a second server and failed there.

A complete comment line is none.

Found by the table of ends of UnframedAnswerTest; both new cases failed before. A line that is cut off still counts.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/EventRelay.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/EventRelay.kt
@@ -34,9 +34,9 @@
     val isTooLarge: Boolean
         get() = bufferedBytes > MAXIMUM_EVENT_BYTES
 
-    /** Whether bytes of an incomplete event were received. */
+    /** Whether bytes of an incomplete event were received; complete comment lines are not part of an event. */
     val isInsideEvent: Boolean
-        get() = event.size() > 0
+        get() = hasFields || line.size() > 0
 
     /** Whether the server that continues the stream sent an event that does not follow the latest one. */
     var isOutOfSequence: Boolean = false
@@ -69,6 +69,13 @@
         return Unpooled.wrappedBuffer(complete.toByteArray())
     }
 
+    /** Removes and returns the buffered comment lines at the end of a complete stream. */
+    fun takeRemainder(): ByteBuf {
+        val remainder = if (wholeEventsOnly) event.toByteArray() else ByteArray(0)
+        event.reset()
+        return Unpooled.wrappedBuffer(remainder)
+    }
+
     /** Discards the incomplete event; the next server continues the stream after the latest complete one. */
     fun continueAtNextServer() {
         line.reset()
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -251,6 +251,7 @@
 
             else -> {
                 finish("answered", end.head.status.toString())
+                responder.sendContent(relay.takeRemainder())
                 responder.end()
             }
         }
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/UnframedAnswerTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/UnframedAnswerTest.kt
@@ -177,6 +177,16 @@
         expectThat(arrivals).hasSize(1)
     }
 
+    /** Guards against a comment, which is no event, that makes a whole stream count as broken off or gets lost. */
+    @ParameterizedTest
+    @ValueSource(strings = ["stream", "resumable"])
+    fun `stream that ends with a comment is complete`(route: String) {
+        val text = eventText(1..2) + ": end\n"
+        val answer = answerOf(route, { head() + text }, End.CLOSE)
+        expectThat(answer?.body).isEqualTo(text)
+        expectThat(answer?.complete ?: false).isTrue()
+    }
+
     private companion object {
         val CALLS = setOf("safe", "once")
         const val TRANSFER_MILLIS = 30L
