Limit an error in an entry of the store to that entry

Cause: the JSON parser needs stack for each level of an array. The StackOverflowError ended the handling of the answer on the event loop, and nothing called the store again. Class of fault: one invalid item fails the batch that it came with.

An item that cannot be decoded, whatever the error, costs that item alone and is logged once for its key. An error while an answer of the store is handled leads to the next attempt, and a follower without a next step lists again and logs that it had stopped.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -317,6 +317,7 @@
     private fun housekeeping(now: Timestamp) {
         if (now < nextHousekeeping) return
         nextHousekeeping = now + HOUSEKEEPING_INTERVAL
+        followers().values.forEach { it.restartIfStopped() }
         front.closeTimedOut()
         auxiliaryEndpoints.forEach { it.closeTimedOut() }
         if (now >= nextSeedRefresh) {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/PublishedState.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/PublishedState.kt
@@ -65,11 +65,7 @@
     fun applyNewestRoutes(items: Collection<StoreItem>): Unit = items.forEach { applyRoutes(it) }
 
     private fun applyRoutes(item: StoreItem) {
-        val table = items.readRoutes(item)
-        if (table == null) {
-            logUnreadable(item)
-            return
-        }
+        val table = read(item) { items.readRoutes(it) } ?: return
         val current = routes
         if (current != null && current.revision >= table.revision) return
         routes = table
@@ -83,10 +79,18 @@
         onRoutes(table)
     }
 
-    private fun readServer(item: StoreItem): BackendServer? {
-        val server = items.readServer(item)
-        if (server == null) logUnreadable(item)
-        return server
+    private fun readServer(item: StoreItem): BackendServer? = read(item) { items.readServer(it) }
+
+    /** Decodes [item]; a failure of any kind concerns this item alone. */
+    @Suppress("TooGenericExceptionCaught") // Another writer may have left bytes that no decoder expects.
+    private fun <T : Any> read(item: StoreItem, decode: (StoreItem) -> T?): T? = try {
+        decode(item).also { if (it == null) logUnreadable(item, detail = null) }
+    } catch (failure: RuntimeException) {
+        logUnreadable(item, failure.toString())
+        null
+    } catch (failure: StackOverflowError) {
+        logUnreadable(item, failure.toString())
+        null
     }
 
     private fun applyServer(item: StoreItem) {
@@ -111,12 +115,13 @@
     }
 
     /** Logs an unreadable entry the first time only, however often it is written. */
-    private fun logUnreadable(item: StoreItem) {
+    private fun logUnreadable(item: StoreItem, detail: String?) {
         if (reportedKeys.size >= MAXIMUM_REPORTED_KEYS || !reportedKeys.add(item.key)) return
         log.warn("unreadable_entry") {
             field("key", item.key)
             field("store_revision", item.revision)
             field("bytes", item.value.size)
+            field("detail", detail)
         }
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -64,6 +64,9 @@
     private var current: BufferedCall? = null
     private var failingSince: Timestamp? = null
 
+    /** Time by which the next step follows; null before the start. */
+    private var expectedBy: Timestamp? = null
+
     /** Position in the store up to which the items are current; null before the first listing. */
     val position: StorePosition?
         get() = items.position
@@ -172,12 +175,41 @@
         onSuccess: (response: HttpResponseMessage, era: Long) -> Unit,
     ) {
         val call = BufferedCall(request, CONNECT_TIMEOUT, timeout, memory) { result ->
-            result.fold(success = { onResponse(it, onSuccess) }, failure = { onFailure(it) })
+            continueAfterFailure {
+                result.fold(success = { onResponse(it, onSuccess) }, failure = { onFailure(it) })
+            }
         }
         current = call
+        expectedBy = clock.now() + timeout + STOPPED_MARGIN
         call.start(address, group)
     }
 
+    @Suppress("TooGenericExceptionCaught") // An error in an answer must not end the following.
+    private fun continueAfterFailure(handle: () -> Unit) = try {
+        handle()
+    } catch (failure: RuntimeException) {
+        retryAfterError(failure)
+    } catch (failure: StackOverflowError) {
+        retryAfterError(failure)
+    }
+
+    private fun retryAfterError(failure: Throwable) {
+        log.error("store_answer_failed", failure) { field("prefix", prefix) }
+        retryAfterFailure(failure.toString())
+    }
+
+    /** Lists again if neither an answer nor the end of a wait has arrived in time. */
+    fun restartIfStopped() {
+        val expected = expectedBy ?: return
+        if (clock.now() <= expected) return
+        log.error("store_following_stopped") {
+            field("prefix", prefix)
+            field("revision", position?.revision)
+        }
+        current?.cancel()
+        list(after = null)
+    }
+
     private fun onResponse(
         response: HttpResponseMessage,
         onSuccess: (response: HttpResponseMessage, era: Long) -> Unit,
@@ -228,6 +260,7 @@
         val backoff = minOf(INITIAL_BACKOFF * (1 shl minOf(fruitlessCalls - 1, MAXIMUM_DOUBLINGS)), MAXIMUM_BACKOFF)
         val jitteredDelay = backoff.inWholeMilliseconds / 2 + random.nextLong(backoff.inWholeMilliseconds / 2 + 1)
         val resume = { if (mustList) list(after = null) else watch() }
+        expectedBy = clock.now() + jitteredDelay.milliseconds + STOPPED_MARGIN
         group.schedule(resume, jitteredDelay, TimeUnit.MILLISECONDS)
     }
 
@@ -261,6 +294,9 @@
         /** Duration of a watch without changes below which the store has not waited for any. */
         val MINIMUM_WATCH_DURATION = 1.seconds
 
+        /** Time beyond which a missing step means that the following has stopped. */
+        val STOPPED_MARGIN = 5.seconds
+
         /**
          * Backoff after the first call that leads no further; it doubles with each further one. At the maximum at least
          * 400 ms pass between two attempts of at most two calls, so that a follower makes five calls a second at most.
--- /dev/null
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/OddEntryTest.kt
@@ -0,0 +1,56 @@
+/*
+ * Entries that another writer left in the store and that describe no server.
+ */
+package org.arbutusnotch.forwarding.registry
+
+import org.arbutusnotch.forwarding.fixture.InstanceFixture
+import org.arbutusnotch.forwarding.fixture.ScriptedServer
+import org.arbutusnotch.forwarding.fixture.StandInStore
+import org.arbutusnotch.forwarding.fixture.awaitUntil
+import org.arbutusnotch.forwarding.fixture.testServer
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import java.util.concurrent.atomic.AtomicInteger
+
+class OddEntryTest {
+    private val resources = mutableListOf<AutoCloseable>()
+    private val store = StandInStore().also { resources += it }
+    private val callCount = AtomicInteger()
+
+    @AfterEach
+    fun close() = resources.asReversed().forEach { it.close() }
+
+    private fun instance() = InstanceFixture(servers = emptyList(), sharedStore = store).also { resources += it }
+
+    private fun registerServer(id: String, startedAt: Long = 1) {
+        val server = ScriptedServer { answer() }.also { resources += it }
+        store.put("servers/$id", testServer(id, server.address, startedAt = startedAt))
+    }
+
+    private fun InstanceFixture.status(): Int? = call("/once/x", "r${callCount.incrementAndGet()}")?.status
+
+    private fun failure(kind: String): Throwable =
+        if (kind == "stack overflow") StackOverflowError() else IllegalStateException("odd")
+
+    /** Guards against an entry that ends the following of the store, so that no later server is ever used. */
+    @ParameterizedTest
+    @ValueSource(strings = ["stack overflow", "exception"])
+    fun `server that registers after an entry that cannot be decoded is used`(kind: String) {
+        val instance = instance()
+        store.putFailing("servers/odd", failure(kind))
+        registerServer("sound")
+        awaitUntil("the server is used") { instance.status() == 200 }
+    }
+
+    /** Guards against an instance that never serves because an entry cannot be decoded. */
+    @ParameterizedTest
+    @ValueSource(strings = ["stack overflow", "exception"])
+    fun `instance that starts after an entry that cannot be decoded serves`(kind: String) {
+        store.putFailing("servers/odd", failure(kind))
+        store.putFailing("routes/odd", failure(kind))
+        registerServer("sound")
+        val instance = instance()
+        awaitUntil("the server is used") { instance.status() == 200 }
+    }
+}
