--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/PublishedState.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/PublishedState.kt
@@ -8,6 +8,7 @@
 import org.arbutusnotch.core.forwarding.ServerRegistry
 import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.telemetry.EventLog
+import kotlin.time.Duration.Companion.days
 
 /**
  * Applies published items as soon as they are read. A route table never replaces one of the same or a higher revision.
@@ -79,7 +80,11 @@
         onRoutes(table)
     }
 
-    private fun readServer(item: StoreItem): BackendServer? = read(item) { items.readServer(it) }
+    /** A start in the future could not be exceeded by the next process of the server. */
+    private fun readServer(item: StoreItem): BackendServer? = read(item) { readable ->
+        val latestStart = (clock.now() + MAXIMUM_CLOCK_DIFFERENCE).epochMillis
+        items.readServer(readable)?.takeIf { it.startedAt <= latestStart }
+    }
 
     /** Decodes [item]; a failure of any kind concerns this item alone. */
     @Suppress("TooGenericExceptionCaught") // Another writer may have left bytes that no decoder expects.
@@ -128,5 +133,8 @@
     private companion object {
         /** Number of remembered keys of unreadable entries; further entries are not logged. */
         const val MAXIMUM_REPORTED_KEYS = 1_000
+
+        /** Time by which the clock of a server may be ahead: clocks of machines differ by seconds, not by days. */
+        val MAXIMUM_CLOCK_DIFFERENCE = 1.days
     }
 }
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/OddEntryTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/OddEntryTest.kt
@@ -9,8 +9,11 @@
 import org.arbutusnotch.forwarding.fixture.awaitUntil
 import org.arbutusnotch.forwarding.fixture.testServer
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import java.util.concurrent.atomic.AtomicInteger
 
 class OddEntryTest {
@@ -53,4 +56,19 @@
         val instance = instance()
         awaitUntil("the server is used") { instance.status() == 200 }
     }
+
+    /** Guards against an entry whose start time no later process of the server can exceed. */
+    @Test
+    fun `entry that started in the far future does not replace its server`() {
+        val instance = instance()
+        registerServer("sound")
+        awaitUntil("the server is used") { instance.status() == 200 }
+        store.put("servers/sound", testServer("sound", "127.0.0.1:9", startedAt = Long.MAX_VALUE))
+        Thread.sleep(READ_MILLIS)
+        repeat(3) { expectThat(instance.status()).isEqualTo(200) }
+    }
+
+    private companion object {
+        const val READ_MILLIS = 400L
+    }
 }
