Answer every request before the end of the grace time

Callers saw, in a planned stop: calls that came 0.6 to 2.3 s after the signal, with a grace time of 4 s and a server that needs 2.5 s, were passed on and cut without an answer when the process ended, also ones that may not be repeated (LOST).

Cause: an instance that shuts down took requests as long as it had connections, and the end of the process was no deadline of theirs. Class of fault: a deadline of the process is not one of what it has accepted.

Change: when the shutdown begins, the deadline of each request, open or new, is brought forward to the time at which its final answer must leave. What still runs then gets its final answer, 504 with an unknown outcome; a stream that has begun is broken off.

LateRequestTest failed before: new and kept connections, a request of unknown duration, and requests that wait for a place.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -429,6 +429,7 @@
         )
         membership.updateOwnRow(state = InstanceState.DRAINING)
         front.startDraining()
+        context.shutdownNotice.announce(now + settings.shutdownTime - PROCESS_EXIT_TIME - FINAL_ANSWER_TIME)
         log.info("stopping") {
             field("busy_connections", front.busyConnections)
             field("connections", front.openConnections)
@@ -497,6 +498,9 @@
         /** Timeout for closing the connections of an instance that ends before its process. */
         val CLOSE_TIMEOUT = 1.seconds
 
+        /** Time reserved before that for the final answers of all requests to reach their callers. */
+        val FINAL_ANSWER_TIME = 200.milliseconds
+
         /** Time reserved for the exit of the process. */
         val PROCESS_EXIT_TIME = 800.milliseconds
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -53,8 +53,11 @@
 ) : DisconnectListener {
     protected val log: EventLog = EventLog("exchange")
     protected val receivedAt: Timestamp = context.now()
-    protected val deadlineAt: Timestamp =
+
+    /** Time of the final answer at the latest; a shutdown of this instance brings it forward. */
+    protected var deadlineAt: Timestamp =
         receivedAt + minOf(request.caller.remaining ?: request.route.timeLimit, request.route.timeLimit)
+        private set
     protected val objectiveAt: Timestamp = receivedAt + request.route.objective
 
     /** Time without progress after which the caller disconnects. */
@@ -68,6 +71,8 @@
     private var ticket: TicketId? = null
     private var placeRequested = false
     private var cancelDeadline: () -> Unit = {}
+    private var cancelLatestStart: () -> Unit = {}
+    private var stopObservingShutdown: () -> Unit = {}
     private var stopObservingQuarantine: () -> Unit = {}
 
     /** Work that the request currently needs from a backend server. */
@@ -95,7 +100,31 @@
     fun start() {
         cancelDeadline = context.schedule(deadlineAt) { if (!finished) onDeadline() }
         stopObservingQuarantine = context.crashReporter.onQuarantine { refuseWaitingIfQuarantined() }
-        requestPlace(countsAsRetry = false)
+        stopObservingShutdown = context.shutdownNotice.observe { onShutdown(answerBy = it) }
+        if (finished) stopObservingShutdown() else requestPlace(countsAsRetry = false)
+    }
+
+    /**
+     * Ends the request at [answerBy] at the latest. If no server has it when it could no longer end by then, it is
+     * refused, so that its caller can turn to another instance at once.
+     */
+    private fun onShutdown(answerBy: Timestamp) {
+        if (finished || deadlineAt <= answerBy) return
+        deadlineAt = answerBy
+        cancelDeadline()
+        cancelDeadline = context.schedule(answerBy) { if (!finished) onDeadline() }
+        val latestStart = answerBy - context.routeDurations.expected(request.route)
+        if (context.now() >= latestStart) {
+            refuseUnlessSent()
+        } else {
+            cancelLatestStart = context.schedule(latestStart) { refuseUnlessSent() }
+        }
+    }
+
+    private fun refuseUnlessSent() {
+        if (finished || mayHaveRun) return
+        stopAttempt()
+        refuse("shutting_down", retryAfter = Duration.ZERO)
     }
 
     /**
@@ -231,7 +260,7 @@
         if (finished) return
         val bytes = body.bytes()
         bodies -= body
-        finish("answered", head.status.toString())
+        finishAnswered(head)
         responder.send(LocalResponses.forwarded(head), bytes, onWritten = { body.discard() })
     }
 
@@ -239,12 +268,20 @@
     protected fun newAnswerBody(onDropped: (String) -> Unit): BufferedBody =
         BufferedBody(MAXIMUM_COLLECTED_BYTES, context.answerBufferBudget, onDropped).also { bodies += it }
 
+    /** Ends the exchange with the complete answer of a server that has [head]. */
+    protected fun finishAnswered(head: ResponseHead) {
+        context.routeDurations.record(request.route.name, context.now() - receivedAt)
+        finish("answered", head.status.toString())
+    }
+
     /** Ends the exchange; its final answer was sent or is sent by the calling function. */
     protected fun finish(outcome: String, reason: String) {
         if (finished) return
         finished = true
         cancelDeadline()
+        cancelLatestStart()
         stopObservingQuarantine()
+        stopObservingShutdown()
         bodies.forEach { it.discard() }
         ticket?.let { context.dispatch.cancel(it) }
         val elapsed = context.now() - receivedAt
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
@@ -5,6 +5,7 @@
 
 import io.netty.channel.EventLoopGroup
 import org.arbutusnotch.core.forwarding.AnswerBufferBudget
+import org.arbutusnotch.core.forwarding.RouteDurations
 import org.arbutusnotch.core.forwarding.ServerRegistry
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.forwarding.ForwardingProtocol
@@ -26,6 +27,8 @@
     val random: Random,
     val metrics: ForwardingMetrics,
     val answerBufferBudget: AnswerBufferBudget,
+    val shutdownNotice: ShutdownNotice = ShutdownNotice(),
+    val routeDurations: RouteDurations = RouteDurations(),
 ) {
     fun now(): Timestamp = clock.now()
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -250,7 +250,7 @@
             end.head.status !in AnswerValidation.SUCCESS_STATUSES -> abortStream("status ${end.head.status}")
 
             else -> {
-                finish("answered", end.head.status.toString())
+                finishAnswered(end.head)
                 responder.sendContent(relay.takeRemainder())
                 responder.end()
             }
--- /dev/null
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LateRequestTest.kt
@@ -0,0 +1,115 @@
+/*
+ * Requests that arrive late in the grace time of a planned shutdown.
+ */
+package org.arbutusnotch.forwarding
+
+import org.arbutusnotch.forwarding.fixture.InstanceFixture
+import org.arbutusnotch.forwarding.fixture.RawCaller
+import org.arbutusnotch.forwarding.fixture.ReceivedResponse
+import org.arbutusnotch.forwarding.fixture.ScriptedServer
+import org.arbutusnotch.forwarding.fixture.testRoutes
+import org.arbutusnotch.forwarding.fixture.testServer
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEmpty
+import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
+import java.util.concurrent.CompletableFuture
+import kotlin.time.Duration.Companion.seconds
+
+class LateRequestTest {
+    private val resources = mutableListOf<AutoCloseable>()
+
+    @AfterEach
+    fun close() = resources.asReversed().forEach { it.close() }
+
+    private val server = ScriptedServer {
+        Thread.sleep(SERVICE_MILLIS)
+        answer()
+    }.also { resources += it }
+
+    private fun instance() =
+        InstanceFixture(testRoutes(timeLimit = 30.seconds), listOf(testServer("a", server.address)))
+            .also { resources += it }
+
+    private fun sentIds() = server.requests.mapNotNull { it.header("id") }
+
+    private fun RawCaller.callAsync(fixture: InstanceFixture, id: String): CompletableFuture<ReceivedResponse?> =
+        CompletableFuture.supplyAsync {
+            write(fixture.request("/once/x", id))
+            read()
+        }
+
+    private fun connect(fixture: InstanceFixture) = RawCaller(fixture.front).also { resources += it }
+
+    /** Guards against requests that are passed on late in the grace time and cut off without an answer at its end. */
+    @ParameterizedTest
+    @ValueSource(booleans = [false, true])
+    fun `request that cannot end within the grace time is refused at once`(kept: Boolean) {
+        val fixture = instance()
+        expectThat(fixture.call("/once/x", "first")?.status).isEqualTo(200)
+        val connections = if (kept) LATE_MILLIS.map { connect(fixture) } else emptyList()
+        fixture.instance.stop()
+        val stoppedAt = System.nanoTime()
+        val answers = LATE_MILLIS.mapIndexed { index, millis ->
+            Thread.sleep((millis - (System.nanoTime() - stoppedAt) / NANOS_PER_MILLI).coerceAtLeast(0))
+            (connections.getOrNull(index) ?: connect(fixture)).callAsync(fixture, "late-$millis")
+        }.map { it.get() }
+        expectThat(answers).all {
+            isNotNull().and {
+                get { status }.isEqualTo(503)
+                get { header("X-Outcome") }.isEqualTo("not_run")
+                get { complete }.isTrue()
+            }
+        }
+        expectThat(sentIds()).containsExactly("first")
+    }
+
+    /** Guards against a closed connection in place of the final answer, for requests whose duration is not known. */
+    @Test
+    fun `request that still runs at the end of the grace time gets a final answer`() {
+        val fixture = instance()
+        val connection = connect(fixture)
+        fixture.instance.stop()
+        Thread.sleep(LATE_MILLIS.last())
+        val answer = connection.callAsync(fixture, "late").get()
+        expectThat(answer?.status).isEqualTo(504)
+        expectThat(answer?.header("X-Outcome")).isEqualTo("unknown")
+        expectThat(sentIds()).containsExactly("late")
+    }
+
+    /** Guards against requests that wait for a place until the process ends. */
+    @Test
+    fun `request that waits for a place is refused before the end of the grace time`() {
+        val fixture = instance()
+        expectThat(fixture.call("/once/x", "first")?.status).isEqualTo(200)
+        val answers = (1..CALLERS).associate { "r$it" to connect(fixture).callAsync(fixture, "r$it") }
+        Thread.sleep(READ_MILLIS)
+        fixture.instance.stop()
+        val statuses = answers.mapValues { it.value.get()?.status }
+        val sent = sentIds().toSet()
+        expectThat(statuses.filterKeys { it !in sent }.values) {
+            isNotEmpty()
+            all { isEqualTo(503) }
+        }
+        expectThat(statuses.filterKeys { it in sent }.values).all { isEqualTo(200) }
+    }
+
+    private companion object {
+        const val SERVICE_MILLIS = 2_500L
+
+        /** Times after the signal; the process has a grace time of four seconds. */
+        val LATE_MILLIS = listOf(600L, 1_200L, 1_800L, 2_300L)
+
+        /** Several times what the slots of the server hold. */
+        const val CALLERS = 24
+        const val READ_MILLIS = 200L
+        const val NANOS_PER_MILLI = 1_000_000L
+    }
+}
