Replace the pending step of a follower that is restarted

A process that was frozen finds both the check for a stopped follower and the follower's own timer due. The check started a second sequence of calls beside the first, which went on for good. Found by reading; the test failed before.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -67,6 +67,9 @@
     /** Time by which the next step follows; null before the start. */
     private var expectedBy: Timestamp? = null
 
+    /** Number of the latest call or wait; earlier ones have no effect when they end. */
+    private var step = 0L
+
     /** Position in the store up to which the items are current; null before the first listing. */
     val position: StorePosition?
         get() = items.position
@@ -174,9 +177,13 @@
         timeout: Duration,
         onSuccess: (response: HttpResponseMessage, era: Long) -> Unit,
     ) {
+        step += 1
+        val ownStep = step
         val call = BufferedCall(request, CONNECT_TIMEOUT, timeout, memory) { result ->
-            continueAfterFailure {
-                result.fold(success = { onResponse(it, onSuccess) }, failure = { onFailure(it) })
+            if (ownStep == step) {
+                continueAfterFailure {
+                    result.fold(success = { onResponse(it, onSuccess) }, failure = { onFailure(it) })
+                }
             }
         }
         current = call
@@ -259,11 +266,15 @@
         fruitlessCalls += 1
         val backoff = minOf(INITIAL_BACKOFF * (1 shl minOf(fruitlessCalls - 1, MAXIMUM_DOUBLINGS)), MAXIMUM_BACKOFF)
         val jitteredDelay = backoff.inWholeMilliseconds / 2 + random.nextLong(backoff.inWholeMilliseconds / 2 + 1)
-        val resume = { if (mustList) list(after = null) else watch() }
+        step += 1
+        val ownStep = step
+        val resume = { if (ownStep == step) resume() }
         expectedBy = clock.now() + jitteredDelay.milliseconds + STOPPED_MARGIN
         group.schedule(resume, jitteredDelay, TimeUnit.MILLISECONDS)
     }
 
+    private fun resume() = if (mustList) list(after = null) else watch()
+
     private fun recordSuccess() {
         val since = failingSince ?: return
         failingSince = null
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreFollowerTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreFollowerTest.kt
@@ -9,11 +9,15 @@
 import org.arbutusnotch.forwarding.fixture.StandInStore
 import org.arbutusnotch.forwarding.fixture.awaitUntil
 import org.arbutusnotch.forwarding.http.socketAddress
+import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.telemetry.MonotonicClock
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
@@ -60,4 +64,42 @@
         }
         group.shutdownGracefully()
     }
+
+    /** Guards against two sequences of calls after a restart, for which the pause of a frozen process is a reason. */
+    @Test
+    fun `restart replaces the pending step`() {
+        val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+        StandInStore().use { store ->
+            val offsetMillis = AtomicLong()
+            val running = MonotonicClock()
+            val clock = Clock { running.now() + offsetMillis.get().milliseconds }
+            val follower = StoreFollower(
+                "servers/",
+                socketAddress(store.address),
+                store.protocol,
+                group,
+                clock,
+                Random(1),
+                Listener(),
+                AnswerBufferBudget(1_000_000),
+            )
+            store.status = 503
+            group.execute { follower.start() }
+            Thread.sleep(FAILING_MILLIS)
+            store.status = 200
+            val before = store.calls
+            group.submit {
+                offsetMillis.set(60_000)
+                follower.restartIfStopped()
+            }.get()
+            Thread.sleep(FAILING_MILLIS)
+            expectThat(store.calls - before).isEqualTo(2)
+        }
+        group.shutdownGracefully()
+    }
+
+    private companion object {
+        /** Time after which the pause between two failing calls is at its longest. */
+        const val FAILING_MILLIS = 1_500L
+    }
 }
