Answer that the instance is not ready while it waits for the routes of a peer

An instance that had read routes used them for requests while it still waited for its peers, so that a caller with an old address list could be denied a confirmed route for up to two seconds. Found by reading; the test failed before.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -162,7 +162,7 @@
         metrics = metrics,
         answerBufferBudget = answerBufferBudget,
     )
-    private val front = endpoint(settings.frontAddress, FrontHandler(context) { publishedState.routes })
+    private val front = endpoint(settings.frontAddress, FrontHandler(context, ::routesInUse))
     private val auxiliaryEndpoints = listOf(
         endpoint(settings.readyAddress, ReadinessHandler { membership.state == InstanceState.SERVING }),
         endpoint(settings.controlAddress, ControlHandler(::snapshot)),
@@ -250,6 +250,9 @@
     private fun endpoint(address: String, handler: RequestHandler) =
         HttpEndpoint(socketAddress(address), group, clock, { publishedState.routes?.limits ?: INITIAL_LIMITS }, handler)
 
+    /** Returns the routes for requests; null while the instance does not know whether they are current. */
+    private fun routesInUse() = publishedState.routes?.takeUnless { membership.state == InstanceState.STARTING }
+
     private fun requestsPerRetry(): Int = (1 / (settings.retryRatio * DISPATCHER_RETRY_SHARE)).toInt()
 
     private fun onRouteTable(table: RouteTable) {
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreRestorationTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreRestorationTest.kt
@@ -20,6 +20,7 @@
 import org.arbutusnotch.forwarding.fixture.InstanceFixture
 import org.arbutusnotch.forwarding.fixture.ScriptedServer
 import org.arbutusnotch.forwarding.fixture.StandInStore
+import org.arbutusnotch.forwarding.fixture.TestPorts
 import org.arbutusnotch.forwarding.fixture.awaitUntil
 import org.arbutusnotch.forwarding.fixture.testRoutes
 import org.arbutusnotch.forwarding.fixture.testServer
@@ -205,6 +206,23 @@
         repeat(5) { expectThat(started.status("added")).isEqualTo(200) }
     }
 
+    /** Guards against routes of a copy that are used before a peer could be heard. */
+    @Test
+    fun `instance answers that it is not ready until it has waited for its peers`() {
+        val silentPeer = "127.0.0.1:${TestPorts.next()}"
+        val started =
+            InstanceFixture(
+                servers = emptyList(),
+                sharedStore = store,
+                seeds = listOf(silentPeer),
+                awaitsServing = false,
+            )
+                .also { resources += it }
+        Thread.sleep(LISTING_MILLIS)
+        expectThat(started.status("unknown")).isEqualTo(503)
+        awaitUntil("the instance serves") { started.status("unknown") == 404 }
+    }
+
     /** Guards against an instance that keeps the items of the lost era because it cannot reach the store itself. */
     @Test
     fun `snapshot of a peer in a later era replaces items of higher revisions`() {
@@ -267,6 +285,9 @@
         /** Time in which an instance has read the latest changes, or has listed again. */
         const val READ_MILLIS = 400L
 
+        /** Time in which an instance lists the store after its start; it waits longer for its peers. */
+        const val LISTING_MILLIS = 200L
+
         /** Time for which a server whose entry disappeared keeps getting requests, and a margin. */
         const val GRACE_MILLIS = 1_500L
         const val CALL_COUNT_MILLIS = 4_000L
