Let an entry that is written make a server usable after it was leaving

It recorded each leaving entry for the life of the process, to keep it against a copy of the store, and so bound the server's own later statement too.

Change: after a restoration, a process that was leaving is treated like one that was removed: unusable until its server writes again, or for five seconds; a second restoration extends that.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
@@ -50,11 +50,14 @@
      */
     public fun restore(servers: Collection<BackendServer>, now: Timestamp) {
         recordOutage(now)
-        val leaving = registered.values.filter { it.leaving }.associate { it.id to it.startedAt }
+        val unusable = registered.values.filter { it.leaving || isDoubtful(it.id, now) }.associate {
+            it.id to
+                it.startedAt
+        }
         val listed = servers.associateBy { it.id }
         registered.keys.filter { it !in listed }.forEach { expire(it, now) }
         servers.forEach { register(it, now) }
-        servers.filter { ended[it.id] == it.startedAt || leaving[it.id] == it.startedAt }
+        servers.filter { ended[it.id] == it.startedAt || unusable[it.id] == it.startedAt }
             .forEach { doubtful[it.id] = now + DOUBT_AFTER_RESTORATION }
     }
 
@@ -70,7 +73,6 @@
         if (known != null && known.startedAt > server.startedAt) return
         removed.remove(server.id)
         registered[server.id] = server
-        if (server.leaving && server.startedAt > 0) announcements.recordLeaving(server.id, server.startedAt)
         removeExpired(now)
     }
 
