Pace the calls to a store whose era rises with each answer

A watch that was answered in a later era led to a listing without a pause, so that a store whose era rises with each answer and whose watches do not wait was called without end.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -86,7 +86,7 @@
     /** Adopts the state of a peer if it is newer; the next watch continues from its position. */
     fun adopt(peerItems: List<StoreItem>, peerPosition: StorePosition) {
         val previous = position
-        if (previous != null && peerPosition <= previous) return
+        if (items.isOutdated(peerPosition.era) || (previous != null && peerPosition <= previous)) return
         log.info("state_adopted") {
             field("prefix", prefix)
             field("era", peerPosition.era)
@@ -154,8 +154,11 @@
         val changes = protocol.readChanges(response.body)
         if (changes == null) return retryAfterFailure("unreadable changes")
         recordSuccess()
-        // Revisions of a later era do not continue those of the position that was watched.
-        if (era != from.era || items.needsListing) return list(after = null)
+        if (era != from.era || items.needsListing) {
+            // Revisions of a later era do not continue those of the position that was watched.
+            mustList = true
+            return resumeLater()
+        }
         changes.changes.forEach { if (items.apply(it)) listener.onChanged(it) }
         val advanced = items.advanceTo(StorePosition(era, changes.storeRevision))
         val checkedEra = eraUncertain
@@ -209,7 +212,7 @@
     fun restartIfStopped() {
         val expected = expectedBy ?: return
         if (clock.now() <= expected) return
-        log.error("store_following_stopped") {
+        log.warn("store_following_stopped") {
             field("prefix", prefix)
             field("revision", position?.revision)
         }
@@ -310,7 +313,8 @@
 
         /**
          * Backoff after the first call that leads no further; it doubles with each further one. At the maximum at least
-         * 400 ms pass between two attempts of at most two calls, so that a follower makes five calls a second at most.
+         * 400 ms pass between two attempts of two calls, so that a follower makes five calls a second at most, besides
+         * those for further pages of a listing.
          */
         val INITIAL_BACKOFF = 100.milliseconds
         val MAXIMUM_BACKOFF = 800.milliseconds
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreRestorationTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreRestorationTest.kt
@@ -178,18 +178,20 @@
         awaitUntil("the items are listed") { follower.position != null }
         writeUnrelated(1)
         awaitUntil("the change is read") { follower.position?.revision == 12L }
+        awaitUntil("the next watch waits") { store.waitingWatches == 1 }
         store.restore(lost = 1)
         store.put("other", "unrelated")
         awaitUntil("the restoration is noticed") { follower.position?.era == 2L }
     }
 
     /** Guards against instances that call the store without a pause when its answers do not help them. */
-    @Test
-    fun `store without a history is called a few times a second`() {
+    @ParameterizedTest
+    @ValueSource(strings = ["NO_HISTORY", "ERA_RISES_WITH_EACH_ANSWER", "WATCHES_DO_NOT_WAIT"])
+    fun `store whose answers do not help is called a few times a second`(fault: String) {
         instanceWithServer()
-        store.withoutHistory = true
-        writeUnrelated(1)
-        Thread.sleep(READ_MILLIS)
+        store.fault = StandInStore.Fault.valueOf(fault)
+        writeUnrelated(2)
+        Thread.sleep(BACKOFF_MILLIS)
         val before = store.calls
         Thread.sleep(CALL_COUNT_MILLIS)
         expectThat(store.calls - before).isLessThanOrEqualTo(MAXIMUM_CALLS)
@@ -290,6 +292,9 @@
 
         /** Time for which a server whose entry disappeared keeps getting requests, and a margin. */
         const val GRACE_MILLIS = 1_500L
+
+        /** Time after which the pauses between calls are at their longest. */
+        const val BACKOFF_MILLIS = 1_500L
         const val CALL_COUNT_MILLIS = 4_000L
 
         /** Two followers that call at most five times a second each. */
