--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -21,7 +21,6 @@
 import org.arbutusnotch.core.forwarding.RouteTable
 import org.arbutusnotch.core.forwarding.ServerRegistry
 import org.arbutusnotch.core.forwarding.StartupRoutes
-import org.arbutusnotch.core.forwarding.StorePosition
 import org.arbutusnotch.core.id.ContentDigest
 import org.arbutusnotch.core.id.Incarnation
 import org.arbutusnotch.core.id.InstanceAddress
@@ -369,8 +368,8 @@
     private fun adopt(bytes: ByteArray, peer: InstanceAddress) = StoreSnapshot.decode(bytes).fold(
         success = { snapshot ->
             publishedState.applyNewestRoutes(listOfNotNull(snapshot.routes?.storeItem()))
-            snapshot.parts.filter { it.revision >= 0 }.forEach { part ->
-                followers()[part.prefix]?.adopt(part.storeItems(), StorePosition(part.era, part.revision))
+            snapshot.parts.forEach { part ->
+                part.position?.let { followers()[part.prefix]?.adopt(part.storeItems(), it) }
             }
         },
         failure = { detail ->
@@ -417,7 +416,7 @@
         followers().map { (prefix, follower) ->
             val items = follower.snapshot().map { SnapshotItem(it.key, it.revision, it.value) }
             val position = follower.position
-            SnapshotPart(prefix, position?.revision ?: -1, items, position?.era ?: 0)
+            SnapshotPart(prefix, position?.revision ?: SnapshotPart.NOT_READ, items, position?.era ?: 0)
         },
         routes = publishedState.routesItem?.let { SnapshotItem(it.key, it.revision, it.value) },
     )
@@ -501,7 +500,7 @@
         /** Timeout for closing the connections of an instance that ends before its process. */
         val CLOSE_TIMEOUT = 1.seconds
 
-        /** Time reserved before that for the final answers of all requests to reach their callers. */
+        /** Time before the exit of the process in which the final answers reach their callers. */
         val FINAL_ANSWER_TIME = 200.milliseconds
 
         /** Time reserved for the exit of the process. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreSnapshot.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreSnapshot.kt
@@ -12,16 +12,26 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.Cbor
+import org.arbutusnotch.core.forwarding.StorePosition
 
 @Serializable
 internal class SnapshotItem(val key: String, val revision: Long, @ByteString val value: ByteArray) {
     fun storeItem() = StoreItem(key, revision, value)
 }
 
-/** Holds the items under one prefix at a position in the store; a negative [revision] means that none were read. */
+/** Holds the items under one prefix at a position in the store. */
 @Serializable
 internal class SnapshotPart(val prefix: String, val revision: Long, val items: List<SnapshotItem>, val era: Long = 0) {
+    /** Position up to which the items are current; null when none were read. */
+    val position: StorePosition?
+        get() = if (revision < 0) null else StorePosition(era, revision)
+
     fun storeItems(): List<StoreItem> = items.map { it.storeItem() }
+
+    companion object {
+        /** Value of [revision] when no items were read. */
+        const val NOT_READ = -1L
+    }
 }
 
 /**
