Give no grace time to a server that was held back after a restoration

A server that was leaving or gone before the store was restored, and stands in the copy, gets no work. When the copied entry expired, it was treated like a sound server whose entry disappears, and got work for the grace time, although it was gone.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
@@ -81,10 +81,10 @@
         expire(id, now)?.let { ended[id] = it.startedAt }
     }
 
-    /** Removes the entry of [id], whose server may still run. */
+    /** Removes the entry of [id], whose server may still run and gets work for the grace time if it got any before. */
     private fun expire(id: BackendServerId, now: Timestamp): BackendServer? {
         val server = registered.remove(id) ?: return null
-        if (!server.leaving) removed[id] = RemovedServer(server, removedAt = now)
+        if (!server.leaving && !isDoubtful(id, now)) removed[id] = RemovedServer(server, removedAt = now)
         return server
     }
 
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/ServerRegistryTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/ServerRegistryTest.kt
@@ -162,6 +162,20 @@
         expectThat(registry.findUsable(id, start + 12.seconds)).isNotNull()
     }
 
+    /** Guards against a server that is gone and gets requests when the entry of the copy expires or is lost again. */
+    @Test
+    fun `server that was removed before a restoration gets no grace when the copied entry disappears`() {
+        registry.put(server(), start)
+        registry.remove(id, start)
+        registry.restore(listOf(server()), start + 10.seconds)
+        registry.remove(id, start + 12.seconds)
+        expectThat(registry.findUsable(id, start + 12.seconds)).isNull()
+        expectThat(registry.usable(start + 12.seconds)).isEmpty()
+        registry.restore(listOf(server()), start + 13.seconds)
+        registry.restore(emptyList(), start + 14.seconds)
+        expectThat(registry.usable(start + 14.seconds)).isEmpty()
+    }
+
     /** Guards against a sound server that never gets requests again because its entry does not change. */
     @Test
     fun `server that the restored registry keeps listing becomes usable`() {
