--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
@@ -37,9 +37,12 @@
     private var outageGraceUntil = Timestamp(0)
 
     /** Replaces all entries by [servers]. An entry of a process that started before the known one is ignored. */
-    public fun replaceAll(servers: Collection<BackendServer>, now: Timestamp) {
+    public fun replaceAll(servers: Collection<BackendServer>, now: Timestamp): Unit =
+        replace(servers, now) { remove(it, now) }
+
+    private fun replace(servers: Collection<BackendServer>, now: Timestamp, onMissing: (BackendServerId) -> Unit) {
         val listed = servers.associateBy { it.id }
-        registered.keys.filter { it !in listed }.forEach { remove(it, now) }
+        registered.keys.filter { it !in listed }.forEach(onMissing)
         servers.forEach { register(it, now) }
     }
 
@@ -50,13 +53,9 @@
      */
     public fun restore(servers: Collection<BackendServer>, now: Timestamp) {
         recordOutage(now)
-        val unusable = registered.values.filter { it.leaving || isDoubtful(it.id, now) }.associate {
-            it.id to
-                it.startedAt
-        }
-        val listed = servers.associateBy { it.id }
-        registered.keys.filter { it !in listed }.forEach { expire(it, now) }
-        servers.forEach { register(it, now) }
+        val unusable = registered.values.filter { it.leaving || isDoubtful(it.id, now) }
+            .associate { it.id to it.startedAt }
+        replace(servers, now) { expire(it, now) }
         servers.filter { ended[it.id] == it.startedAt || unusable[it.id] == it.startedAt }
             .forEach { doubtful[it.id] = now + DOUBT_AFTER_RESTORATION }
     }
