--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -119,6 +119,8 @@
     private val publishedState = PublishedState(protocols.items, clock, registry) { onRouteTable(it) }
     private val routeFollower = follower(protocols.items.routePrefix, publishedState.routeListener)
     private val serverFollower = follower(protocols.items.serverPrefix, publishedState.serverListener)
+    private val followers =
+        mapOf(protocols.items.routePrefix to routeFollower, protocols.items.serverPrefix to serverFollower)
     private val dispatchService = DispatchService(
         servers = { registry.usable(it) },
         recordLeaving = { server, startedAt -> registry.recordLeaving(server, startedAt) },
@@ -264,8 +266,7 @@
         if (membership.state != InstanceState.STARTING) return
         val own = publishedState.routes?.revision
         if (own == null || serverFollower.position == null) return
-        val peers = membership.reachablePeers().map { it.row.active?.revision }
-        if (!StartupRoutes.mayServe(own, peers, expectsPeers, waited = clock.now() - startedAt)) return
+        if (!StartupRoutes.mayServe(own, peerRevisions(), expectsPeers, waited = clock.now() - startedAt)) return
         membership.updateOwnRow(state = InstanceState.SERVING)
         log.info("serving") { field("instance", self) }
     }
@@ -319,7 +320,7 @@
     private fun housekeeping(now: Timestamp) {
         if (now < nextHousekeeping) return
         nextHousekeeping = now + HOUSEKEEPING_INTERVAL
-        followers().values.forEach { it.restartIfStopped() }
+        followers.values.forEach { it.restartIfStopped() }
         front.closeTimedOut()
         auxiliaryEndpoints.forEach { it.closeTimedOut() }
         if (now >= nextSeedRefresh) {
@@ -332,12 +333,12 @@
         }
     }
 
+    /** Returns the revisions of the routes of the reachable peers; null for a peer that has none yet. */
+    private fun peerRevisions() = membership.reachablePeers().map { it.row.active?.revision }
+
     private fun needsPeerState(): Boolean {
         val own = publishedState.routes?.revision
-        val isBehind = membership.reachablePeers().any { peer ->
-            val theirs = peer.row.active?.revision
-            theirs != null && (own == null || theirs > own)
-        }
+        val isBehind = peerRevisions().any { it != null && (own == null || it > own) }
         return isBehind || routeFollower.isFailing || serverFollower.isFailing
     }
 
@@ -369,7 +370,7 @@
         success = { snapshot ->
             publishedState.applyNewestRoutes(listOfNotNull(snapshot.routes?.storeItem()))
             snapshot.parts.forEach { part ->
-                part.position?.let { followers()[part.prefix]?.adopt(part.storeItems(), it) }
+                part.position?.let { followers[part.prefix]?.adopt(part.storeItems(), it) }
             }
         },
         failure = { detail ->
@@ -409,16 +410,11 @@
         }.start(socketAddress(server.address), group)
     }
 
-    private fun followers() =
-        mapOf(protocols.items.routePrefix to routeFollower, protocols.items.serverPrefix to serverFollower)
-
     private fun snapshot() = StoreSnapshot(
-        followers().map { (prefix, follower) ->
-            val items = follower.snapshot().map { SnapshotItem(it.key, it.revision, it.value) }
-            val position = follower.position
-            SnapshotPart(prefix, position?.revision ?: SnapshotPart.NOT_READ, items, position?.era ?: 0)
+        parts = followers.map { (prefix, follower) ->
+            SnapshotPart.of(prefix, follower.position, follower.snapshot())
         },
-        routes = publishedState.routesItem?.let { SnapshotItem(it.key, it.revision, it.value) },
+        routes = publishedState.routesItem?.let { SnapshotItem.of(it) },
     )
 
     private fun beginShutdown() {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreSnapshot.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreSnapshot.kt
@@ -17,6 +17,10 @@
 @Serializable
 internal class SnapshotItem(val key: String, val revision: Long, @ByteString val value: ByteArray) {
     fun storeItem() = StoreItem(key, revision, value)
+
+    companion object {
+        fun of(item: StoreItem) = SnapshotItem(item.key, item.revision, item.value)
+    }
 }
 
 /** Holds the items under one prefix at a position in the store. */
@@ -30,7 +34,15 @@
 
     companion object {
         /** Value of [revision] when no items were read. */
-        const val NOT_READ = -1L
+        private const val NOT_READ = -1L
+
+        /** Returns the part for [items], which are current up to [position]; null if none were read. */
+        fun of(prefix: String, position: StorePosition?, items: Collection<StoreItem>) = SnapshotPart(
+            prefix = prefix,
+            revision = position?.revision ?: NOT_READ,
+            items = items.map { SnapshotItem.of(it) },
+            era = position?.era ?: 0,
+        )
     }
 }
 
