Derive in the follower what it stored twice

Whether the era is uncertain is whether the latest call failed, and whether to list follows from the position and a lost history. One comparison tells whether a position is an advance. If a peer supplied the state of the new era while a watch of the old one ended, the watch continues from there instead of listing again.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/FollowedItems.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/FollowedItems.kt
@@ -36,13 +36,17 @@
 
     /** Returns the era of an answer that names [era]; an answer without one belongs to the latest known era. */
     fun observeEra(era: Long?): Long {
-        latestEra = maxOf(latestEra, era ?: latestEra)
-        return era ?: latestEra
+        val observed = era ?: latestEra
+        latestEra = maxOf(latestEra, observed)
+        return observed
     }
 
     /** Returns whether an answer of [era] describes a store that has been restored since. */
     fun isOutdated(era: Long): Boolean = era < latestEra
 
+    /** Returns whether [other] is newer than the known items and than any restoration that is known. */
+    fun isAdvance(other: StorePosition): Boolean = !isOutdated(other.era) && position.let { it == null || other > it }
+
     /** Replaces the items by [listed], which are current up to [listedPosition], unless the known ones are newer. */
     fun replace(listed: List<StoreItem>, listedPosition: StorePosition): Replacement {
         val known = position
@@ -71,8 +75,7 @@
 
     /** Records that the items are current up to [newPosition], and returns whether that is an advance. */
     fun advanceTo(newPosition: StorePosition): Boolean {
-        val known = position
-        if (known != null && newPosition <= known) return false
+        if (!isAdvance(newPosition)) return false
         position = newPosition
         return true
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -54,10 +54,9 @@
     private val items = FollowedItems()
     private var listing = mutableListOf<StoreItem>()
     private var listingPosition: StorePosition? = null
-    private var mustList = true
 
-    /** Whether a call has failed since the latest answer, so that the store may have been restored. */
-    private var eraUncertain = false
+    /** Whether changes since [position] are no longer available. */
+    private var historyLost = false
 
     /** Number of consecutive calls that led no further. */
     private var fruitlessCalls = 0
@@ -85,13 +84,12 @@
 
     /** Adopts the state of a peer if it is newer; the next watch continues from its position. */
     fun adopt(peerItems: List<StoreItem>, peerPosition: StorePosition) {
-        val previous = position
-        if (items.isOutdated(peerPosition.era) || (previous != null && peerPosition <= previous)) return
+        if (!items.isAdvance(peerPosition)) return
         log.info("state_adopted") {
             field("prefix", prefix)
             field("era", peerPosition.era)
             field("revision", peerPosition.revision)
-            field("previous_revision", previous?.revision)
+            field("previous_revision", position?.revision)
             field("items", peerItems.size)
         }
         replace(peerItems, peerPosition)
@@ -118,10 +116,9 @@
             return list(last)
         }
         recordSuccess()
-        mustList = false
-        eraUncertain = false
+        historyLost = false
         replace(listing, start)
-        watch()
+        proceed()
     }
 
     private fun replace(newItems: List<StoreItem>, newPosition: StorePosition) {
@@ -140,12 +137,16 @@
         listener.onReplaced(items.values, restored = replacement == Replacement.RESTORED)
     }
 
-    private fun watch() {
+    /** Watches for further changes, or lists if they cannot be watched. */
+    private fun proceed() {
         val from = position
-        if (from == null || items.needsListing) return list(after = null)
+        if (from == null || historyLost || items.needsListing) list(after = null) else watch(from)
+    }
+
+    private fun watch(from: StorePosition) {
         val begunAt = clock.now()
-        // A watch is answered, and names its era, only when something changes.
-        val duration = if (eraUncertain) ERA_CHECK_DURATION else WATCH_DURATION
+        // After a failed call the store may have been restored, and a watch names the era only when it is answered.
+        val duration = if (isFailing) ERA_CHECK_DURATION else WATCH_DURATION
         val request = protocol.watchRequest(prefix, from.revision, duration)
         call(request, duration + WATCH_MARGIN) { response, era -> onChanges(response, from, era, begunAt) }
     }
@@ -153,26 +154,15 @@
     private fun onChanges(response: HttpResponseMessage, from: StorePosition, era: Long, begunAt: Timestamp) {
         val changes = protocol.readChanges(response.body)
         if (changes == null) return retryAfterFailure("unreadable changes")
+        val checksEra = isFailing
         recordSuccess()
-        if (era != from.era || items.needsListing) {
-            // Revisions of a later era do not continue those of the position that was watched.
-            mustList = true
-            return resumeLater()
-        }
+        // Revisions of a later era do not continue those of the position that was watched.
+        if (era != from.era || items.needsListing) return resumeLater()
         changes.changes.forEach { if (items.apply(it)) listener.onChanged(it) }
         val advanced = items.advanceTo(StorePosition(era, changes.storeRevision))
-        val checkedEra = eraUncertain
-        eraUncertain = false
-        when {
-            advanced || clock.now() >= begunAt + MINIMUM_WATCH_DURATION -> {
-                fruitlessCalls = 0
-                watch()
-            }
-
-            checkedEra -> watch()
-
-            else -> resumeLater()
-        }
+        val isFruitful = advanced || clock.now() >= begunAt + MINIMUM_WATCH_DURATION
+        if (isFruitful) fruitlessCalls = 0
+        if (isFruitful || checksEra) proceed() else resumeLater()
     }
 
     private fun call(
@@ -237,7 +227,7 @@
                     field("revision", position?.revision)
                 }
                 listener.onStoreFailure()
-                mustList = true
+                historyLost = true
                 resumeLater()
             }
 
@@ -253,7 +243,6 @@
 
     private fun retryAfterFailure(detail: String) {
         listener.onStoreFailure()
-        eraUncertain = true
         if (failingSince == null) {
             failingSince = clock.now()
             log.warn("store_lost") {
@@ -271,13 +260,11 @@
         val jitteredDelay = backoff.inWholeMilliseconds / 2 + random.nextLong(backoff.inWholeMilliseconds / 2 + 1)
         step += 1
         val ownStep = step
-        val resume = { if (ownStep == step) resume() }
+        val resume = { if (ownStep == step) proceed() }
         expectedBy = clock.now() + jitteredDelay.milliseconds + STOPPED_MARGIN
         group.schedule(resume, jitteredDelay, TimeUnit.MILLISECONDS)
     }
 
-    private fun resume() = if (mustList) list(after = null) else watch()
-
     private fun recordSuccess() {
         val since = failingSince ?: return
         failingSince = null
