--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreFollowerTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreFollowerTest.kt
@@ -5,10 +5,8 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
-import org.arbutusnotch.core.forwarding.AnswerBufferBudget
 import org.arbutusnotch.forwarding.fixture.StandInStore
 import org.arbutusnotch.forwarding.fixture.awaitUntil
-import org.arbutusnotch.forwarding.http.socketAddress
 import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.telemetry.MonotonicClock
 import org.junit.jupiter.api.Test
@@ -16,25 +14,11 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
 import java.util.concurrent.atomic.AtomicLong
-import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
 class StoreFollowerTest {
-    private class Listener : StoreListener {
-        @Volatile
-        var replaced = false
-
-        override fun onReplaced(items: Collection<StoreItem>, restored: Boolean) {
-            replaced = true
-        }
-
-        override fun onChanged(change: StoreChange) = Unit
-
-        override fun onStoreFailure() = Unit
-    }
-
     /**
      * Guards against an instance that starts while the store does not respond, and keeps waiting for the response to a
      * lost call after the store has recovered: no caller got a response for 2 to 3 s.
@@ -43,19 +27,9 @@
     fun `listing is retried soon after the store recovers`() {
         val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
         StandInStore().use { store ->
-            val listener = Listener()
-            val address = socketAddress(store.address)
+            val listener = RecordingListener()
             store.silent = true
-            StoreFollower(
-                "servers/",
-                address,
-                store.protocol,
-                group,
-                MonotonicClock(),
-                Random(1),
-                listener,
-                AnswerBufferBudget(1_000_000),
-            ).start()
+            testFollower(store, group, listener).start()
             awaitUntil("a call is lost") { store.unansweredCalls > 0 }
             store.silent = false
             val since = TimeSource.Monotonic.markNow()
@@ -73,16 +47,7 @@
             val offsetMillis = AtomicLong()
             val running = MonotonicClock()
             val clock = Clock { running.now() + offsetMillis.get().milliseconds }
-            val follower = StoreFollower(
-                "servers/",
-                socketAddress(store.address),
-                store.protocol,
-                group,
-                clock,
-                Random(1),
-                Listener(),
-                AnswerBufferBudget(1_000_000),
-            )
+            val follower = testFollower(store, group, clock = clock)
             store.status = 503
             group.execute { follower.start() }
             Thread.sleep(FAILING_MILLIS)
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreRestorationTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreRestorationTest.kt
@@ -13,7 +13,6 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.encodeToByteArray
-import org.arbutusnotch.core.forwarding.AnswerBufferBudget
 import org.arbutusnotch.core.forwarding.RouteTable
 import org.arbutusnotch.core.forwarding.StorePosition
 import org.arbutusnotch.core.id.RevisionNumber
@@ -24,8 +23,6 @@
 import org.arbutusnotch.forwarding.fixture.awaitUntil
 import org.arbutusnotch.forwarding.fixture.testRoutes
 import org.arbutusnotch.forwarding.fixture.testServer
-import org.arbutusnotch.forwarding.http.socketAddress
-import org.arbutusnotch.telemetry.MonotonicClock
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
@@ -36,7 +33,6 @@
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotNull
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.random.Random
 
 class StoreRestorationTest {
     private val resources = mutableListOf<AutoCloseable>()
@@ -48,17 +44,12 @@
 
     private fun server() = ScriptedServer { answer() }.also { resources += it }
 
-    private fun put(id: String, server: ScriptedServer, leaving: Boolean = false, startedAt: Long = 1) =
-        store.put("servers/$id", testServer(id, server.address, leaving = leaving, startedAt = startedAt))
+    private fun put(id: String, server: ScriptedServer, leaving: Boolean = false) =
+        store.put("servers/$id", testServer(id, server.address, leaving = leaving))
 
-    private fun instance(vararg peers: InstanceFixture, routes: RouteTable = testRoutes()) = InstanceFixture(
-        routes,
-        emptyList(),
-        sharedStore = store,
-        seeds = peers.map {
-            it.peer
-        },
-    ).also { resources += it }
+    private fun instance(vararg peers: InstanceFixture) =
+        InstanceFixture(servers = emptyList(), sharedStore = store, seeds = peers.map { it.peer })
+            .also { resources += it }
 
     /** Starts an instance that knows one server, and waits until it uses it. */
     private fun instanceWithServer(): Pair<InstanceFixture, ScriptedServer> {
@@ -173,7 +164,7 @@
     fun `restoration is noticed although no item changes`() {
         val group = eventLoop()
         put("first", server())
-        val follower = follower(group)
+        val follower = testFollower(store, group)
         group.execute { follower.start() }
         awaitUntil("the items are listed") { follower.position != null }
         writeUnrelated(1)
@@ -228,7 +219,7 @@
     /** Guards against an instance that keeps the items of the lost era because it cannot reach the store itself. */
     @Test
     fun `snapshot of a peer in a later era replaces items of higher revisions`() {
-        val follower = follower(eventLoop())
+        val follower = testFollower(store, eventLoop())
         val written = StoreItem("servers/a", 3, ByteArray(0))
         follower.adopt(listOf(StoreItem("servers/a", 40, ByteArray(0))), StorePosition(era = 1, revision = 40))
         follower.adopt(listOf(written), StorePosition(era = 2, revision = 5))
@@ -255,25 +246,6 @@
         resources += AutoCloseable { group.shutdownGracefully() }
     }
 
-    private fun follower(group: EventLoopGroup) = StoreFollower(
-        prefix = "servers/",
-        address = socketAddress(store.address),
-        protocol = store.protocol,
-        group = group,
-        clock = MonotonicClock(),
-        random = Random(1),
-        listener = IgnoringListener,
-        memory = AnswerBufferBudget(1_000_000),
-    )
-
-    private object IgnoringListener : StoreListener {
-        override fun onReplaced(items: Collection<StoreItem>, restored: Boolean) = Unit
-
-        override fun onChanged(change: StoreChange) = Unit
-
-        override fun onStoreFailure() = Unit
-    }
-
     @Serializable
     private class PreviousPart(val prefix: String, val revision: Long, val items: List<SnapshotItem>)
 
