--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/BackendServer.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/BackendServer.kt
@@ -6,6 +6,7 @@
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.FailureDomainId
 import org.arbutusnotch.core.id.PoolId
+import org.arbutusnotch.core.id.SoftwareVersion
 
 /** Names the part of the work on a request that a backend server does. */
 public enum class ServerStage {
@@ -26,6 +27,7 @@
  * the same id is a new process without any state of earlier requests
  * @property slots number of requests that the server runs concurrently
  * @property leaving whether the server is about to stop and must get no new work
+ * @property version software of the server, not the weights of its models
  */
 public data class BackendServer(
     public val id: BackendServerId,
@@ -36,4 +38,5 @@
     public val slots: Int,
     public val leaving: Boolean,
     public val startedAt: Long,
+    public val version: SoftwareVersion,
 )
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/id/Identifiers.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/id/Identifiers.kt
@@ -79,6 +79,13 @@
     override fun toString(): String = value
 }
 
+/** Identifies the software that a backend server runs; versions are equal or not and have no order. */
+@Serializable
+@JvmInline
+public value class SoftwareVersion(public val value: String) {
+    override fun toString(): String = value
+}
+
 /** Identifies one request of a caller. */
 @Serializable
 @JvmInline
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/DispatchFixture.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/DispatchFixture.kt
@@ -12,6 +12,7 @@
 import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.id.PoolId
+import org.arbutusnotch.core.id.SoftwareVersion
 import org.arbutusnotch.core.id.TicketId
 import org.arbutusnotch.core.message.DispatchRelease
 import org.arbutusnotch.core.message.DispatchRequest
@@ -98,17 +99,23 @@
         val DOMAIN = FailureDomainId("one")
         val HOLDER = InstanceId(InstanceAddress("127.0.0.1:1"), Incarnation(1))
 
-        fun server(id: String, stage: ServerStage = ServerStage.WHOLE, slots: Int = 2, startedAt: Long = 1) =
-            BackendServer(
-                id = BackendServerId(id),
-                pool = POOL,
-                address = "127.0.0.1:2",
-                failureDomain = DOMAIN,
-                stage = stage,
-                slots = slots,
-                leaving = false,
-                startedAt = startedAt,
-            )
+        fun server(
+            id: String,
+            stage: ServerStage = ServerStage.WHOLE,
+            slots: Int = 2,
+            startedAt: Long = 1,
+            version: String = "1",
+        ) = BackendServer(
+            id = BackendServerId(id),
+            pool = POOL,
+            address = "127.0.0.1:2",
+            failureDomain = DOMAIN,
+            stage = stage,
+            slots = slots,
+            leaving = false,
+            startedAt = startedAt,
+            version = SoftwareVersion(version),
+        )
     }
 }
 
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/ServerRegistryTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/ServerRegistryTest.kt
@@ -6,6 +6,7 @@
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.FailureDomainId
 import org.arbutusnotch.core.id.PoolId
+import org.arbutusnotch.core.id.SoftwareVersion
 import org.arbutusnotch.core.time.Timestamp
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -32,6 +33,7 @@
         slots = 4,
         leaving = leaving,
         startedAt = startedAt,
+        version = SoftwareVersion("1"),
     )
 
     @Test
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
@@ -25,6 +25,9 @@
  * @property expectedOutputTokens number of tokens that the caller expects; null when not declared
  * @property sharedParts parts of the prompt that other requests may contain too, in order; without the last part, which
  * belongs to the request or to its session alone
+ * @property resumedStream id of the request that brought the first event of the stream that this request takes up;
+ * null when not declared
+ * @property resumeAfter id of the last event that the caller has of a stream that it takes up; null for a new request
  */
 public data class CallerRequest(
     public val id: RequestId,
@@ -33,6 +36,8 @@
     public val maximumOutputTokens: Int,
     public val expectedOutputTokens: Int?,
     public val sharedParts: List<PromptPartId> = emptyList(),
+    public val resumedStream: RequestId? = null,
+    public val resumeAfter: String? = null,
 )
 
 /** Selects the part of a request that a backend server runs. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -202,7 +202,9 @@
             field("dispatcher", place.dispatcher)
             field("pool", place.pool)
             field("server", place.server.id)
+            field("version", place.server.version)
             field("prefill_server", place.prefillServer?.id)
+            field("prefill_version", place.prefillServer?.version)
             field("waited_millis", (context.now() - receivedAt).inWholeMilliseconds)
         }
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
@@ -47,6 +47,8 @@
             field("remaining_millis", caller.remaining?.inWholeMilliseconds)
             field("prompt_tokens", caller.promptTokens)
             if (caller.sharedParts.isNotEmpty()) field("shared_parts", caller.sharedParts.joinToString(","))
+            caller.resumedStream?.let { field("resumed_stream", it) }
+            caller.resumeAfter?.let { field("resume_after", it) }
             field("output_tokens", caller.expectedOutputTokens ?: caller.maximumOutputTokens)
         }
         val exchange = when (route.kind) {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/PublishedState.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/PublishedState.kt
@@ -106,6 +106,7 @@
             field("pool", server.pool)
             field("stage", server.stage)
             field("leaving", server.leaving)
+            field("version", server.version)
             field("store_revision", item.revision)
         }
     }
