Give taken-up streams places before new ones

Cause: a take-up may use the servers of one version only, and waited behind new streams, which may use all. It counts as a stream that has begun now, like one that is continued inside an answer.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -45,7 +45,7 @@
  * @property startBy time until which the request may wait; it is refused without a place by then
  * @property retries additional attempts, counted against the retry budget, that a place causes
  * @property resubmitted whether a place was already requested with another ticket
- * @property started whether part of the response was already forwarded to the caller
+ * @property started whether the caller already has a part of the stream, from this answer or from an earlier one
  * @property version software version that began the stream; null for any version
  */
 internal data class PlaceRequest(
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -158,7 +158,7 @@
             excluded = excluded.toSet(),
             retries = retryCost(countsAsRetry),
             resubmitted = placeRequested,
-            started = responseStarted,
+            started = responseStarted || requiredVersion != null,
             version = requiredVersion,
         )
         placeRequested = true
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/StreamVersionTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/StreamVersionTest.kt
@@ -257,7 +257,43 @@
         expectThat(new.requests.map { it.header("id") }).isEqualTo(listOf("r2"))
     }
 
+    /** Guards against taken-up streams that are refused because new ones take every place of their version. */
+    @Test
+    fun `taken-up stream gets a place before new ones that wait`() {
+        val only = server {
+            when (request.header("id")) {
+                "r1" -> events(last = 2)
+
+                "blocker" -> {
+                    streamHead()
+                    event(1)
+                    Thread.sleep(BLOCKED_MILLIS)
+                    endOfStream()
+                }
+
+                else -> twoEventsThenSilence()
+            }
+        }
+        store.put("servers/only", decode("only", only, version = "1"))
+        val instance = instances(1).single()
+        instance.call("/resumable/x", "r1", headers = tokens)
+        fun send(id: String, headers: String) {
+            val caller = RawCaller(instance.front).also { resources += it }
+            caller.write(instance.request("/resumable/x", id, headers))
+        }
+        send("blocker", "tokens: 100,53000\r\n")
+        awaitUntil("the server is full") { only.requests.size == 2 }
+        send("r2", "tokens: 100,30000\r\n")
+        Thread.sleep(ENTRY_MILLIS)
+        send("t1", "tokens: 100,30000\r\nresumes: r1\r\nafter: 2\r\n")
+        awaitUntil("a waiting stream has a place") { only.requests.size >= 3 }
+        expectThat(only.requests.take(3).map { it.header("id") }).isEqualTo(listOf("r1", "blocker", "t1"))
+    }
+
     private companion object {
+        /** Time for which a stream takes all memory of its server. */
+        const val BLOCKED_MILLIS = 900L
+
         /** Time in which the events of a server reach its caller. */
         const val EVENT_MILLIS = 200L
 
