Serve through a peer at an instance that reaches no server

Cause: the only way to serve was a connection from the instance itself. A refusal tells the caller the truth and still fails it.

A dispatcher that sees an instance fail on its paths to all servers while others get answers names two of these in turn. The instance passes the request to one of them, at its control address, once at most; the peer handles it like one of its own. Only the peer's answer says that the request has not run; a peer that is lost on the way leaves that unknown. A disconnect of the caller reaches the server over both.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -42,6 +42,7 @@
 
     /** Time until which each instance that has requested a place counts as a holder. */
     private val recentHolders = HashMap<InstanceAddress, Timestamp>()
+    private val relays = RelayCandidates()
     private var nextStageChangeAt = Timestamp(0)
 
     /** Fraction of the request limits of servers that this dispatcher may grant. */
@@ -142,9 +143,7 @@
         val tracked = release.server?.let { trackedServers[it] } ?: return dispatchWaiting(now)
         val key = PlaceKey(release.ticket, release.part)
         val place = if (release.outcome == PlaceOutcome.SILENT) tracked.places[key] else tracked.places.remove(key)
-        val request = recentGrants[release.ticket]?.request
-        val domain = request?.domain ?: tracked.server.failureDomain
-        tracked.health.record(release.outcome, (request?.holder ?: place?.holder)?.address, domain, now)
+        recordHealth(tracked, release, place, now)
         if (release.outcome in ANSWERED_OUTCOMES) tracked.lastAnswerAt = now
         if (release.outcome == PlaceOutcome.NOT_RUN) tracked.fullUntil = now + REJECTION_PAUSE
         // An accepted prefill is not counted separately from its run; a rejected one counts as an additional attempt.
@@ -156,6 +155,13 @@
         return dispatchWaiting(now)
     }
 
+    private fun recordHealth(tracked: TrackedServer, release: DispatchRelease, place: UsedPlace?, now: Timestamp) {
+        val request = recentGrants[release.ticket]?.request
+        val holder = (request?.holder ?: place?.holder)?.address
+        tracked.health.record(release.outcome, holder, request?.domain ?: tracked.server.failureDomain, now)
+        if (holder != null && release.outcome == PlaceOutcome.COMPLETED) relays.recordAnswer(holder, now)
+    }
+
     /**
      * Replaces the places of a holder by its report [held]: places that it does not list are free, and places that are
      * not known here were granted by another dispatcher.
@@ -270,12 +276,12 @@
         val servers = runServers(entry)
         val latest = maxOf(now, entry.startDeadline)
         return when {
+            isCutOff(entry, now) -> DispatchRefusal.SERVERS_UNREACHABLE
+
             // Another server may change its stage for a new request; for a continuation that takes too long.
             servers.isEmpty() && (entry.version != null || trackedServers.keys.all { it in entry.excluded }) ->
                 DispatchRefusal.NO_SERVER
 
-            servers.isNotEmpty() && servers.none { isInReach(it, entry, now) } -> DispatchRefusal.SERVERS_UNREACHABLE
-
             earliestUnpaused(servers, entry, now) > latest -> DispatchRefusal.SERVERS_PAUSED
 
             now + limitedWait(servers, ahead, now) > latest -> DispatchRefusal.SERVERS_LIMITED
@@ -284,11 +290,17 @@
         }
     }
 
-    /** Returns whether the holder of [entry] reaches [tracked], or may find out now whether it does. */
-    private fun isInReach(tracked: TrackedServer, entry: WaitingRequest, now: Timestamp): Boolean {
+    /**
+     * Returns whether the holder of [entry] reaches none of the servers that could run it while other instances reach
+     * some, and none is due to be tried again.
+     */
+    private fun isCutOff(entry: WaitingRequest, now: Timestamp): Boolean {
         val holder = entry.holder.address
-        return !tracked.health.isPathDown(holder) ||
-            (tracked.health.mayTryPath(holder, now) && tracked.mayProbe(holder))
+        val candidates = runServers(entry.copy(excluded = emptySet()))
+        return candidates.any { it.health.isPathDown(holder) } && candidates.all { it.health.isPathFaulty(holder) } &&
+            candidates.none {
+                it.server.id !in entry.excluded && it.health.mayTryPath(holder, now) && it.mayProbe(holder)
+            }
     }
 
     /** Returns the servers that could run [entry], regardless of their pauses and load. */
@@ -397,7 +409,9 @@
             DispatchRefusal.NO_SERVER, DispatchRefusal.OVERLOADED, DispatchRefusal.RETRY_BUDGET ->
                 selection.timePerRequest(this) * waiting.size
         }
-        return DispatchDecision.Refused(ticket, holder, reason, retryAfter = maxOf(wait, MINIMUM_RETRY_DELAY))
+        val relays =
+            if (reason == DispatchRefusal.SERVERS_UNREACHABLE) relays.select(holder.address, now) else emptyList()
+        return DispatchDecision.Refused(ticket, holder, reason, retryAfter = maxOf(wait, MINIMUM_RETRY_DELAY), relays)
     }
 
     private class RecentGrant(
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
@@ -80,6 +80,9 @@
         }
     }
 
+    /** Whether the latest request of [holder] did not reach the server or got no answer. */
+    fun isPathFaulty(holder: InstanceAddress): Boolean = holder in faultyPaths
+
     /** Whether [holder] does not reach the server although other instances do. */
     fun isPathDown(holder: InstanceAddress): Boolean = faultyPaths[holder]?.othersReachServer ?: false
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/WaitingRequest.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/WaitingRequest.kt
@@ -6,6 +6,7 @@
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.FailureDomainId
+import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.id.SoftwareVersion
 import org.arbutusnotch.core.id.TicketId
@@ -91,11 +92,15 @@
     /** The request waits for a place. */
     public data class Queued(override val ticket: TicketId, override val holder: InstanceId) : DispatchDecision
 
-    /** The request gets no place; a new request is likely to get one after [retryAfter]. */
+    /**
+     * The request gets no place; a new request is likely to get one after [retryAfter], or at once through one of
+     * [relays].
+     */
     public data class Refused(
         override val ticket: TicketId,
         override val holder: InstanceId,
         public val reason: DispatchRefusal,
         public val retryAfter: Duration,
+        public val relays: List<InstanceAddress> = emptyList(),
     ) : DispatchDecision
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.Serializable
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.FailureDomainId
+import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.id.SoftwareVersion
@@ -156,13 +157,18 @@
         @SerialName("l") public val limited: Boolean = false,
     ) : DispatchReply
 
-    /** The request gets no place; a new request is likely to get one after [retryMillis]. */
+    /**
+     * The request gets no place; a new request is likely to get one after [retryMillis].
+     *
+     * @property relays instances that reach the servers although the holder does not, best first
+     */
     @Serializable
     @SerialName("dispatch-refused")
     public data class Refused(
         @SerialName("t") override val ticket: TicketId,
         @SerialName("r") public val reason: DispatchRefusal,
         @SerialName("m") public val retryMillis: Long,
+        @SerialName("i") public val relays: List<InstanceAddress> = emptyList(),
     ) : DispatchReply
 }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -51,6 +51,7 @@
 import org.arbutusnotch.forwarding.exchange.ForwardingContext
 import org.arbutusnotch.forwarding.exchange.ForwardingMetrics
 import org.arbutusnotch.forwarding.exchange.FrontHandler
+import org.arbutusnotch.forwarding.exchange.RelayedRequests
 import org.arbutusnotch.forwarding.http.BufferedCall
 import org.arbutusnotch.forwarding.http.CallEnd
 import org.arbutusnotch.forwarding.http.HeaderField
@@ -181,11 +182,13 @@
         random = random,
         metrics = metrics,
         answerBufferBudget = answerBufferBudget,
+        relays = RelayedRequests { peer -> membership.serving().find { it.address == peer }?.row?.operatorAddress },
     )
-    private val front = endpoint(settings.frontAddress, FrontHandler(context, ::routesInUse))
+    private val frontHandler = FrontHandler(context, ::routesInUse)
+    private val front = endpoint(settings.frontAddress, frontHandler)
     private val auxiliaryEndpoints = listOf(
         endpoint(settings.readyAddress, ReadinessHandler { membership.state == InstanceState.SERVING }),
-        endpoint(settings.controlAddress, ControlHandler(::snapshot)),
+        endpoint(settings.controlAddress, ControlHandler(::snapshot, frontHandler::handleRelayed)),
         endpoint(settings.metricsAddress, MetricsHandler(meterRegistry)),
         endpoint(
             settings.directoryAddress,
@@ -462,7 +465,8 @@
         if (now >= shutdown.idleCloseAt) front.closeIdle()
         val noConnectionsLeft = now >= shutdown.listsExpireAt && front.openConnections == 0
         val noRequestsLeft = now >= shutdown.idleCloseAt && front.busyConnections == 0
-        if (!noConnectionsLeft && !noRequestsLeft && now < shutdown.forcedExitAt) return
+        val mayEnd = (noConnectionsLeft || noRequestsLeft) && context.relays.activeCount == 0
+        if (!mayEnd && now < shutdown.forcedExitAt) return
         if (ended.count > 0L) log.info("stopped") { field("interrupted_requests", front.busyConnections) }
         ended.countDown()
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
@@ -122,6 +122,9 @@
         resumeAfter: String? = null,
     ): RequestHead
 
+    /** Returns [head] of a caller's request for another instance, which handles it within [remaining]. */
+    public fun relayedRequest(head: RequestHead, remaining: Duration): RequestHead
+
     /** Parses the head of an answer. */
     public fun readAnswer(head: ResponseHead): ServerAnswer
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -88,6 +88,7 @@
         val dispatcher: InstanceAddress,
         val reason: DispatchRefusal,
         val retryAfter: Duration,
+        val relays: List<InstanceAddress> = emptyList(),
     ) : PlaceReply
 }
 
@@ -270,7 +271,8 @@
             return
         }
         pending.remove(reply.ticket)
-        submitted.onResult(PlaceReply.Refused(reply.ticket, sender, reply.reason, reply.retryMillis.milliseconds))
+        val retryAfter = reply.retryMillis.milliseconds
+        submitted.onResult(PlaceReply.Refused(reply.ticket, sender, reply.reason, retryAfter, reply.relays))
     }
 
     /** Resends unanswered place requests and reports the places in use. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -160,6 +160,11 @@
         is DispatchDecision.Queued -> DispatchReply.Queued(decision.ticket)
 
         is DispatchDecision.Refused ->
-            DispatchReply.Refused(decision.ticket, decision.reason, decision.retryAfter.inWholeMilliseconds)
+            DispatchReply.Refused(
+                ticket = decision.ticket,
+                reason = decision.reason,
+                retryMillis = decision.retryAfter.inWholeMilliseconds,
+                relays = decision.relays,
+            )
     }
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/entry/ControlHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/entry/ControlHandler.kt
@@ -1,9 +1,10 @@
 /*
- * Serves the known state of the store to other instances, and metrics to operators.
+ * Serves other instances with the known state of the store and their callers' requests, and operators with metrics.
  */
 package org.arbutusnotch.forwarding.entry
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.arbutusnotch.forwarding.exchange.RelayedRequests
 import org.arbutusnotch.forwarding.http.DisconnectListener
 import org.arbutusnotch.forwarding.http.HeaderField
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
@@ -12,9 +13,21 @@
 import org.arbutusnotch.forwarding.http.ResponseHead
 import org.arbutusnotch.forwarding.registry.StoreSnapshot
 
-/** Serves the state of the store to instances that cannot reach it or are behind. */
-internal class ControlHandler(private val snapshot: () -> StoreSnapshot) : RequestHandler {
+/**
+ * Serves the state of the store to instances that cannot reach it or are behind, and requests of callers to those that
+ * reach no server.
+ */
+internal class ControlHandler(
+    private val snapshot: () -> StoreSnapshot,
+    private val handleRelayed: (HttpRequestMessage, Responder) -> DisconnectListener?,
+) : RequestHandler {
     override fun handle(request: HttpRequestMessage, responder: Responder): DisconnectListener? {
+        if (request.head.header(RelayedRequests.HEADER) != null) {
+            val head = request.head.copy(
+                headers = request.head.headers.filterNot { it.name.equals(RelayedRequests.HEADER, ignoreCase = true) },
+            )
+            return handleRelayed(HttpRequestMessage(head, request.body), responder)
+        }
         responder.respond(request, SNAPSHOT_PATH, "application/cbor") { snapshot().encode() }
         return null
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -6,10 +6,12 @@
  */
 package org.arbutusnotch.forwarding.exchange
 
+import io.netty.buffer.ByteBuf
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.Route
 import org.arbutusnotch.core.forwarding.RouteKind
 import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.id.SoftwareVersion
 import org.arbutusnotch.core.id.TicketId
@@ -25,9 +27,13 @@
 import org.arbutusnotch.forwarding.http.BufferedBody
 import org.arbutusnotch.forwarding.http.CallEnd
 import org.arbutusnotch.forwarding.http.DisconnectListener
+import org.arbutusnotch.forwarding.http.HeaderField
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
 import org.arbutusnotch.forwarding.http.Responder
 import org.arbutusnotch.forwarding.http.ResponseHead
+import org.arbutusnotch.forwarding.http.ServerCall
+import org.arbutusnotch.forwarding.http.ServerCallListener
+import org.arbutusnotch.forwarding.http.socketAddress
 import org.arbutusnotch.forwarding.quarantine.ClosedRun
 import org.arbutusnotch.telemetry.EventLog
 import kotlin.time.Duration
@@ -37,6 +43,7 @@
  * Holds a request together with its route.
  *
  * @property suspects what the request has in common with others that may crash servers
+ * @property relayed whether another instance, which reaches no server, has passed the request on
  */
 internal class RoutedRequest(
     val message: HttpRequestMessage,
@@ -45,6 +52,7 @@
     val route: Route,
     val pool: PoolId,
     val work: DispatchWork,
+    val relayed: Boolean = false,
 )
 
 internal abstract class Exchange(
@@ -102,10 +110,13 @@
     protected var finished: Boolean = false
         private set
 
+    private var relay: Relay? = null
+
     /** Answers that are buffered in memory. */
     private val bodies = mutableListOf<BufferedBody>()
 
     fun start() {
+        if (request.relayed) context.relays.recordStart()
         cancelDeadline = context.schedule(deadlineAt) { if (!finished) onDeadline() }
         stopObservingQuarantine = context.crashReporter.onQuarantine { refuseWaitingIfQuarantined() }
         stopObservingShutdown = context.shutdownNotice.observe { onShutdown(answerBy = it) }
@@ -192,9 +203,108 @@
 
             is PlaceReply.Refused -> {
                 logRefusal(reply)
-                if (!finished) onPlaceRefused(reply.reason.code(), reply.retryAfter)
+                if (!finished && !relayThrough(reply.relays)) onPlaceRefused(reply.reason.code(), reply.retryAfter)
+            }
+        }
+    }
+
+    /**
+     * Has the first of [peers] that serves handle the request, and returns whether there is one. A request that a server
+     * may have run, or that was relayed already, is not passed on.
+     */
+    private fun relayThrough(peers: List<InstanceAddress>): Boolean {
+        if (mayHaveRun || responseStarted || request.relayed) return false
+        val peer = peers.firstOrNull { context.relays.addressOf(it) != null } ?: return false
+        val started = Relay(peer, others = peers - peer)
+        relay = started
+        started.start(context.relays.addressOf(peer) ?: return false)
+        return true
+    }
+
+    /** Passes the request to [peer] and its answer on to the caller. */
+    private inner class Relay(private val peer: InstanceAddress, private val others: List<InstanceAddress>) :
+        ServerCallListener {
+        private val body = newAnswerBody { onBodyDropped(it) }
+        private var call: ServerCall? = null
+        private var head: ResponseHead? = null
+
+        fun start(address: String) {
+            log.info("request_relayed") {
+                field("request", request.caller.id)
+                field("peer", peer)
+                field("address", address)
+            }
+            val head = context.protocol.relayedRequest(request.message.head, deadlineAt - context.now())
+            val marked = head.copy(headers = listOf(HeaderField(RelayedRequests.HEADER, peer.value)) + head.headers)
+            val started = ServerCall(HttpRequestMessage(marked, request.message.body), CONNECT_TIMEOUT, this)
+            call = started
+            started.start(socketAddress(address), context.group)
+        }
+
+        override fun maySend(): Boolean {
+            if (finished || context.now() >= deadlineAt) return false
+            mayHaveRun = true
+            return true
+        }
+
+        override fun onHead(head: ResponseHead) {
+            this.head = head
+            val isStream =
+                request.route.kind is RouteKind.Generation && head.status in AnswerValidation.SUCCESS_STATUSES
+            if (!isStream) return
+            responseStarted = true
+            responder.onWritable = { call?.setReading(true) }
+            responder.startStreaming(LocalResponses.forwarded(head))
+        }
+
+        override fun onContent(content: ByteBuf) {
+            if (!responseStarted) return body.add(content)
+            responder.sendContent(content)
+            if (!responder.isWritable) call?.setReading(false)
+        }
+
+        private fun onBodyDropped(reason: String) {
+            call?.cancel()
+            fail(LocalResponses.BAD_GATEWAY, reason)
+        }
+
+        override fun onEnd(end: CallEnd) {
+            if (finished) return
+            val answer = head
+            when {
+                end is CallEnd.NotSent -> tryNextPeer(end.detail)
+
+                end == CallEnd.Withheld -> refuse("deadline", MINIMUM_RETRY_DELAY)
+
+                end is CallEnd.Complete && !end.endedByClose && answer != null -> passOn(answer)
+
+                responseStarted -> {
+                    finish("broken", "relay: $end")
+                    responder.abort()
+                }
+
+                else -> fail(LocalResponses.BAD_GATEWAY, "relay: $end")
             }
         }
+
+        private fun tryNextPeer(detail: String) {
+            log.info("peer_unreachable") {
+                field("request", request.caller.id)
+                field("peer", peer)
+                field("detail", detail)
+            }
+            if (!relayThrough(others)) refuse("peers_unreachable", MINIMUM_RETRY_DELAY)
+        }
+
+        private fun passOn(answer: ResponseHead) {
+            if (!responseStarted) return deliver(answer, body)
+            finishAnswered(answer)
+            responder.end()
+        }
+
+        fun cancel() {
+            call?.cancel()
+        }
     }
 
     private fun logRefusal(refusal: PlaceReply.Refused) {
@@ -300,6 +410,8 @@
         stopObservingQuarantine()
         stopObservingShutdown()
         bodies.forEach { it.discard() }
+        relay?.cancel()
+        if (request.relayed) context.relays.recordEnd()
         ticket?.let { context.dispatch.cancel(it) }
         val elapsed = context.now() - receivedAt
         context.metrics.recordRequest(outcome, reason, elapsed)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
@@ -29,6 +29,7 @@
     val random: Random,
     val metrics: ForwardingMetrics,
     val answerBufferBudget: AnswerBufferBudget,
+    val relays: RelayedRequests = RelayedRequests(),
     val shutdownNotice: ShutdownNotice = ShutdownNotice(),
     val routeDurations: RouteDurations = RouteDurations(),
 ) {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
@@ -23,7 +23,19 @@
     RequestHandler {
     private val log = EventLog("front")
 
-    override fun handle(request: HttpRequestMessage, responder: Responder): DisconnectListener? {
+    override fun handle(request: HttpRequestMessage, responder: Responder): DisconnectListener? =
+        handle(request, responder, relayed = false)
+
+    /** Handles [request] for another instance, which reaches no server. */
+    fun handleRelayed(request: HttpRequestMessage, responder: Responder): DisconnectListener? {
+        if (!context.relays.hasRoom) {
+            val caller = context.protocol.readRequest(request.head)
+            return reject("relays_full", RELAYS_FULL, caller, routes(), responder)
+        }
+        return handle(request, responder, relayed = true)
+    }
+
+    private fun handle(request: HttpRequestMessage, responder: Responder, relayed: Boolean): DisconnectListener? {
         val table = routes()
         val caller = context.protocol.readRequest(request.head)
         val route = table?.find(request.head.header("host").orEmpty(), request.head.path)
@@ -37,13 +49,14 @@
         val endToEndFields = ConnectionHeaders.forwarded(request.head, context.protocol.endToEndHeaders)
         val message = HttpRequestMessage(request.head.copy(headers = endToEndFields), request.body)
         val suspects = Suspects.of(contentDigest(message), caller.sharedParts)
-        val routed = RoutedRequest(message, suspects, caller, route, pool, workOf(route, caller))
+        val routed = RoutedRequest(message, suspects, caller, route, pool, workOf(route, caller), relayed)
         log.info("request_received") {
             field("request", caller.id)
             field("content", suspects.content)
             field("route", route.name)
             field("revision", table.revision)
             field("pool", pool)
+            if (relayed) field("relayed", true)
             field("remaining_millis", caller.remaining?.inWholeMilliseconds)
             field("prompt_tokens", caller.promptTokens)
             if (caller.sharedParts.isNotEmpty()) field("shared_parts", caller.sharedParts.joinToString(","))
@@ -93,6 +106,7 @@
          * no routes waits for the store, whose outages last seconds.
          */
         val NO_ROUTES_RETRY = 1_500.milliseconds
+        val RELAYS_FULL = LocalResponses.refusal("relays_full", 300.milliseconds)
         val NOT_CONFIGURED = LocalResponses.refusal("no_configuration", NO_ROUTES_RETRY)
     }
 }
