--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -209,8 +209,8 @@
     }
 
     /**
-     * Has the first of [peers] that serves handle the request, and returns whether there is one. A request that a server
-     * may have run, or that was relayed already, is not passed on.
+     * Has the first of [peers] that serves handle the request, and returns whether there is one. A request that a
+     * server may have run, or that was relayed already, is not passed on.
      */
     private fun relayThrough(peers: List<InstanceAddress>): Boolean {
         if (mayHaveRun || responseStarted || request.relayed) return false
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/RelayedRequests.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/RelayedRequests.kt
@@ -1,8 +1,8 @@
 /*
  * Requests that one instance handles for another one, which reaches none of the servers.
  *
- * A request is relayed at most once: a peer that does not reach the servers either refuses it. The peer runs it like one
- * of its own callers, so that limits, retries, drains and the version of a stream are decided and counted there alone.
+ * A request is relayed at most once: a peer that does not reach the servers either refuses it. The peer runs it like
+ * one of its own, so that limits, retries, drains and the version of a stream are decided and counted there alone.
  */
 package org.arbutusnotch.forwarding.exchange
 
