--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/PeerMessageHandler.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/PeerMessageHandler.kt
@@ -15,6 +15,7 @@
 import org.arbutusnotch.core.message.ReleaseRequest
 import org.arbutusnotch.core.message.ReserveReply
 import org.arbutusnotch.core.message.ReserveRequest
+import org.arbutusnotch.core.message.StreamMessage
 import org.arbutusnotch.core.message.StreamReport
 import org.arbutusnotch.core.message.StreamReportReply
 import org.arbutusnotch.daemon.control.ConfigurationExchange
@@ -57,8 +58,9 @@
 
         is StreamReport -> slotOwner.report(message)
 
-        // Dispatch messages are exchanged only between forwarding instances.
+        // Forwarding instances alone exchange these.
         is DispatchMessage,
+        is StreamMessage,
         is Acknowledged,
         is ConfigurationContent,
         is PermitReply,
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
@@ -106,7 +106,10 @@
          * no routes waits for the store, whose outages last seconds.
          */
         val NO_ROUTES_RETRY = 1_500.milliseconds
-        val RELAYS_FULL = LocalResponses.refusal("relays_full", 300.milliseconds)
+
+        /** Retry delay for a request that another instance passes on while this one has no room for it. */
+        val RELAYS_FULL_RETRY = 300.milliseconds
+        val RELAYS_FULL = LocalResponses.refusal("relays_full", RELAYS_FULL_RETRY)
         val NOT_CONFIGURED = LocalResponses.refusal("no_configuration", NO_ROUTES_RETRY)
     }
 }
