--- a/review/standins/Replica.java
+++ b/review/standins/Replica.java
@@ -38,6 +38,8 @@
     private final ServerSocket listener;
     private final long born = System.currentTimeMillis();
     private volatile boolean registered = true;
+    private String state = "ready";
+    private long sequence = 1;
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     final String id;
 
@@ -60,8 +62,8 @@
         listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 256);
         Threads.start(this::accept);
         Threads.start(() -> {
-            for (long sequence = 1; registered; sequence++) {
-                beat(sequence);
+            while (registered) {
+                beat();
                 Threads.sleep(HEARTBEAT_MS);
             }
         });
@@ -71,18 +73,25 @@
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
-    private synchronized void beat(long sequence) {
+    private synchronized void beat() {
         if (!registered) return;
+        sequence += 1;
         String models = "[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
         String entry = stage == null
             ? Json.object("service", service, "address", address(), "zone", "zone-a", "version", "v1", "slots", slots,
-                "state", "ready", "coldRemainingMs", 0, "sequence", sequence, "born", born)
+                "state", state, "coldRemainingMs", 0, "sequence", sequence, "born", born)
             : Json.object("service", service, "address", address(), "zone", "zone-a", "version", "v1", "slots", slots,
-                "state", "ready", "coldRemainingMs", 0, "stage", stage, "models", models, "sequence", sequence,
+                "state", state, "coldRemainingMs", 0, "stage", stage, "models", models, "sequence", sequence,
                 "born", born);
         store.put("servers/" + id, entry);
     }
 
+    /** Reports that the replica is draining; it continues to serve. */
+    synchronized void drain() {
+        state = "draining";
+        beat();
+    }
+
     /** Removes the entry; the replica continues to serve. */
     synchronized void unregister() {
         registered = false;
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** The platform's store as PROTOCOL.md describes it: it can only be read, by listings and watches. */
 final class Store implements AutoCloseable {
@@ -27,6 +28,7 @@
     private final TreeMap<String, Event> items = new TreeMap<>();
     private long revision = 1;
     private long cuts = 0;
+    private volatile double lostShare = 0;
 
     Store() throws IOException {
         listener = new ServerSocket();
@@ -54,6 +56,11 @@
         notifyAll();
     }
 
+    /** Loses the given share of the answers from now on; the connection of a lost answer returns nothing further. */
+    void loseAnswers(double share) {
+        lostShare = share;
+    }
+
     /** Ends the connections of the watches that are waiting, without an answer. */
     synchronized void cutWatches() {
         cuts += 1;
@@ -74,6 +81,10 @@
             for (Http.Message call = Http.read(input, null); call != null; call = Http.read(input, null)) {
                 String body = call.target().startsWith("/kv-watch") ? watch(call) : range(call);
                 if (body == null) return;
+                if (ThreadLocalRandom.current().nextDouble() < lostShare) {
+                    while (input.read() >= 0) continue;
+                    return;
+                }
                 byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
                 String head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + bytes.length
                     + "\r\n\r\n";
