--- a/review/standins/Router.java
+++ b/review/standins/Router.java
@@ -15,19 +15,25 @@
 final class Router implements AutoCloseable {
     private final Process process;
     private final Path log;
+    private final String seedIp;
+
+    /** Ports of callers, readiness, control, directory and peers. */
+    private final int[] ports;
     final String ip;
     final int frontPort;
     final int readyPort;
     final int directoryPort;
 
-    private Router(Process process, Path log, String ip, int frontPort, int readyPort, int directoryPort) {
+    private Router(Process process, Path log, String ip, String seedIp, int[] ports) {
         Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
         this.process = process;
         this.log = log;
         this.ip = ip;
-        this.frontPort = frontPort;
-        this.readyPort = readyPort;
-        this.directoryPort = directoryPort;
+        this.seedIp = seedIp;
+        this.ports = ports;
+        frontPort = ports[0];
+        readyPort = ports[1];
+        directoryPort = ports[3];
     }
 
     /** Returns a loopback address at which nothing listens on the fixed port of the metrics. */
@@ -43,21 +49,42 @@
         }
     }
 
-    private static int freePort(String ip) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
-            return socket.getLocalPort();
+    /** Returns five different ports at which nothing listens. */
+    private static int[] freePorts(String ip) throws IOException {
+        int[] ports = new int[5];
+        ServerSocket[] sockets = new ServerSocket[ports.length];
+        for (int index = 0; index < ports.length; index++) {
+            sockets[index] = new ServerSocket(0, 1, InetAddress.getByName(ip));
+            ports[index] = sockets[index].getLocalPort();
         }
+        for (ServerSocket socket : sockets) socket.close();
+        return ports;
     }
 
     /** Starts a process that reads the store at {@code store}; its settings and its log are kept in {@code folder}. */
     static Router start(Path folder, String name, String store) throws IOException {
         String ip = freeAddress();
+        return start(folder, name, store, ip, ip, freePorts(ip));
+    }
+
+    /** Starts a process on another machine, which has {@code first} as its seed and uses the same ports. */
+    static Router startBeside(Router first, Path folder, String name, String store) throws IOException {
+        return start(folder, name, store, freeAddress(), first.ip, first.ports);
+    }
+
+    /** Starts the process again after its end, as the platform does. */
+    Router restart(Path folder, String name, String store) throws IOException {
+        return start(folder, name, store, ip, seedIp, ports);
+    }
+
+    private static Router start(Path folder, String name, String store, String ip, String seedIp, int[] ports)
+            throws IOException {
         Path log = folder.resolve(name + ".log");
-        int front = freePort(ip);
-        int ready = freePort(ip);
-        int control = freePort(ip);
-        int directory = freePort(ip);
-        int peer = freePort(ip);
+        int front = ports[0];
+        int ready = ports[1];
+        int control = ports[2];
+        int directory = ports[3];
+        int peer = ports[4];
         Path settings = folder.resolve(name + ".toml");
         Files.writeString(settings, """
             nodeName = "%1$s"
@@ -68,7 +95,7 @@
             zone = "zone-a"
             region = "region-a"
             internalPorts = [%7$d,%7$d]
-            seeds = ["%2$s:%5$d"]
+            seeds = ["%9$s:%5$d"]
             bootstrap = true
             inTolerance = false
             discovery = "platform"
@@ -123,12 +150,12 @@
             historyS = 20
             valueBytes = 1048576
             ttlMinMs = 1000
-            """.formatted(name, ip, front, ready, control, directory, peer, store));
+            """.formatted(name, ip, front, ready, control, directory, peer, store, seedIp));
         ProcessBuilder builder = new ProcessBuilder(runLine());
         builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
         builder.environment().put("ARBUTUSNOTCH_BOOT", settings.toString());
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
-        return new Router(builder.start(), log, ip, front, ready, directory);
+        return new Router(builder.start(), log, ip, seedIp, ports);
     }
 
     /** Reads the run line of the only role in the deploy file. */
