Refuse streams that a stopping instance could not complete

Cause: the expected duration was the longest of the latest 16 answers of the route at the instance, and the objective, which is the time to the first event, before the first one. Instances answer a stream every two or three seconds, so most had seen few or none.

Ruled out: streams cut sooner than the grace time says, and streams cut by the end of the process: the log names the deadline of the stop for each. The new event request_shortened says what was expected.

Change: durations of generations are observed for each pool, by declared length. Unless eight have ended, a stream that may last past the end of the grace time is refused at once.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/RouteDurations.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/RouteDurations.kt
@@ -1,5 +1,5 @@
 /*
- * Observes how long the requests of each route take.
+ * Observes how long the calls of each route take; generations are observed by GenerationDurations.
  *
  * An instance that shuts down needs this to decide which requests it can still answer.
  */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -131,11 +131,19 @@
      * refused, so that its caller can turn to another instance at once.
      */
     private fun onShutdown(answerBy: Timestamp) {
-        if (finished || deadlineAt <= answerBy) return
+        val deadline = deadlineAt
+        if (finished || deadline <= answerBy) return
         deadlineAt = answerBy
         cancelDeadline()
         cancelDeadline = context.schedule(answerBy) { if (!finished) onDeadline() }
-        val latestStart = answerBy - context.routeDurations.expected(request.route)
+        val duration = expectedDuration() ?: deadline - context.now()
+        val latestStart = answerBy - duration
+        log.info("request_shortened") {
+            field("request", request.caller.id)
+            field("expected_millis", duration.inWholeMilliseconds)
+            field("left_millis", (answerBy - context.now()).inWholeMilliseconds)
+            field("may_have_run", mayHaveRun)
+        }
         if (context.now() >= latestStart) {
             refuseUnlessSent()
         } else {
@@ -143,6 +151,9 @@
         }
     }
 
+    /** Returns how long the request may take from its arrival to its final answer; null when that is not known. */
+    protected open fun expectedDuration(): Duration? = context.routeDurations.expected(request.route)
+
     private fun refuseUnlessSent() {
         if (finished || mayHaveRun) return
         stopAttempt()
@@ -397,10 +408,14 @@
 
     /** Ends the exchange with the complete answer of a server that has [head]. */
     protected fun finishAnswered(head: ResponseHead) {
-        context.routeDurations.record(request.route.name, context.now() - receivedAt)
+        recordDuration(context.now() - receivedAt)
         finish("answered", head.status.toString())
     }
 
+    /** Records that the request was answered after [elapsed], to predict others. */
+    protected open fun recordDuration(elapsed: Duration): Unit =
+        context.routeDurations.record(request.route.name, elapsed)
+
     /** Ends the exchange; its final answer was sent or is sent by the calling function. */
     protected fun finish(outcome: String, reason: String) {
         if (finished) return
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
@@ -5,6 +5,7 @@
 
 import io.netty.channel.EventLoopGroup
 import org.arbutusnotch.core.forwarding.AnswerBufferBudget
+import org.arbutusnotch.core.forwarding.GenerationDurations
 import org.arbutusnotch.core.forwarding.RouteDurations
 import org.arbutusnotch.core.forwarding.ServerRegistry
 import org.arbutusnotch.core.time.Timestamp
@@ -32,6 +33,7 @@
     val relays: RelayedRequests = RelayedRequests(),
     val shutdownNotice: ShutdownNotice = ShutdownNotice(),
     val routeDurations: RouteDurations = RouteDurations(),
+    val generationDurations: GenerationDurations = GenerationDurations(),
 ) {
     fun now(): Timestamp = clock.now()
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -53,6 +53,9 @@
     /** Time of the latest event that was sent to the caller; before the first one, the arrival of the request. */
     private var latestEventAt: Timestamp = receivedAt
 
+    /** Time of the first event that was sent to the caller; null before it. */
+    private var firstEventAt: Timestamp? = null
+
     /** A started stream must be resumed before the caller times out, counted from its latest event. */
     override val startBy: Timestamp
         get() = if (responseStarted) minOf(deadlineAt, latestEventAt + callerTimeout * WAITING_SHARE) else super.startBy
@@ -114,6 +117,19 @@
         )
     }
 
+    /** Number of tokens that the request declares; 0 when it declares none. */
+    private val outputTokens: Int = (request.work as? DispatchWork.Generation)?.outputTokens ?: 0
+
+    override fun expectedDuration(): Duration? =
+        context.generationDurations.expected(pool, outputTokens, request.route.objective)
+
+    /** The rest of a stream that was taken up says little about whole ones. */
+    override fun recordDuration(elapsed: Duration) {
+        val firstEvent = firstEventAt ?: return
+        if (request.caller.resumeAfter != null) return
+        context.generationDurations.record(pool, outputTokens, firstEvent - receivedAt, elapsed)
+    }
+
     override fun releaseUnused(place: GrantedPlace) = release(place, PlaceOutcome.UNUSED)
 
     private fun release(place: GrantedPlace, outcome: PlaceOutcome) {
@@ -436,6 +452,7 @@
 
         private fun recordEvent() {
             latestEventAt = context.now()
+            firstEventAt = firstEventAt ?: latestEventAt
             progress.recordEvent(latestEventAt)
         }
 
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LateRequestTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LateRequestTest.kt
@@ -3,6 +3,7 @@
  */
 package org.arbutusnotch.forwarding
 
+import org.arbutusnotch.core.forwarding.ServerStage
 import org.arbutusnotch.forwarding.fixture.InstanceFixture
 import org.arbutusnotch.forwarding.fixture.RawCaller
 import org.arbutusnotch.forwarding.fixture.ReceivedResponse
@@ -16,6 +17,8 @@
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.containsExactly
+import strikt.assertions.doesNotContain
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotEmpty
 import strikt.assertions.isNotNull
@@ -101,6 +104,74 @@
         expectThat(statuses.filterKeys { it in sent }.values).all { isEqualTo(200) }
     }
 
+    /** A stream of one event for each declared token, and its end. */
+    private val engine = ScriptedServer {
+        val tokens = request.header("tokens").orEmpty().substringAfter(',').toInt()
+        streamHead()
+        (1..tokens).forEach {
+            Thread.sleep(EVENT_MILLIS)
+            event(it)
+        }
+        endOfStream()
+    }.also { resources += it }
+
+    private fun engineInstance() = InstanceFixture(
+        testRoutes(timeLimit = 30.seconds),
+        listOf(testServer("d", engine.address, ServerStage.DECODE)),
+    ).also { resources += it }
+
+    private fun InstanceFixture.stream(id: String, tokens: Int, route: String = "stream") =
+        call("/$route/x", id, headers = "tokens: 10,$tokens\r\n")
+
+    /** Has the instance answer as many streams of [tokens] events as it needs to predict others. */
+    private fun InstanceFixture.observeStreams(tokens: Int, route: String) {
+        val answers = (1..OBSERVED_STREAMS).map { CompletableFuture.supplyAsync { stream("first-$it", tokens, route) } }
+        expectThat(answers.map { it.get()?.complete }).all { isEqualTo(true) }
+    }
+
+    /**
+     * Guards against streams that a stopping instance accepts without knowing how long they take, and breaks off at the
+     * end of the grace time (review case 3).
+     */
+    @ParameterizedTest
+    @ValueSource(strings = ["stream", "resumable"])
+    fun `stream of unknown duration is refused during a shutdown`(route: String) {
+        val fixture = engineInstance()
+        fixture.instance.stop()
+        Thread.sleep(LATE_STREAM_MILLIS)
+        val answer = fixture.stream("late", LONG_STREAM, route)
+        expectThat(answer).isNotNull().and {
+            get { status }.isEqualTo(503)
+            get { header("X-Outcome") }.isEqualTo("not_run")
+        }
+        expectThat(engine.requests).isEmpty()
+    }
+
+    /** Guards against short streams of a busy route that hide how long those of another route of its pool take. */
+    @Test
+    fun `long stream is refused during a shutdown although shorter ones were answered`() {
+        val fixture = engineInstance()
+        fixture.observeStreams(SHORT_STREAM, "resumable")
+        fixture.instance.stop()
+        Thread.sleep(LATE_STREAM_MILLIS)
+        expectThat(fixture.stream("late", LONG_STREAM)?.status).isEqualTo(503)
+        expectThat(engine.requests.mapNotNull { it.header("id") }).doesNotContain("late")
+    }
+
+    /** Guards against a stopping instance that refuses all streams, also those that would end in time. */
+    @Test
+    fun `short stream is served during a shutdown although longer ones were answered`() {
+        val fixture = engineInstance()
+        fixture.observeStreams(LONG_STREAM, "stream")
+        fixture.instance.stop()
+        Thread.sleep(LATE_STREAM_MILLIS)
+        val answer = fixture.stream("late", SHORT_STREAM)
+        expectThat(answer).isNotNull().and {
+            get { status }.isEqualTo(200)
+            get { complete }.isTrue()
+        }
+    }
+
     private companion object {
         const val SERVICE_MILLIS = 2_500L
 
@@ -110,6 +181,13 @@
         /** Several times what the slots of the server hold. */
         const val CALLERS = 24
         const val READ_MILLIS = 200L
+
+        /** Distance of the events of a stream, and numbers of events that end in time after the signal or not. */
+        const val EVENT_MILLIS = 100L
+        const val OBSERVED_STREAMS = 8
+        const val SHORT_STREAM = 5
+        const val LONG_STREAM = 30
+        const val LATE_STREAM_MILLIS = 600L
         const val NANOS_PER_MILLI = 1_000_000L
     }
 }
