Notice a lost answer of the store from peers or after a short wait

Cause: a call that waits for changes asked for 20 s and ended after 22 s. When its answer is lost, nothing shows it. Ruled out: an entry that was read and not applied; the log has no line of any server after the last answer that arrived.

Change: gossip names the latest change of the servers that its sender knows, and an instance that lacks it after 400 ms asks the store at once. Instances with few peers wait briefly. The three cases of LostAnswerTest failed before.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/StorePosition.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/StorePosition.kt
@@ -6,12 +6,17 @@
  */
 package org.arbutusnotch.core.forwarding
 
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
 /**
  * Identifies a state of the store: a later era is newer than an earlier one, whatever the revisions are.
  *
  * @property era number of the era; 0 for a store that names none
  * @property revision revision within the era
  */
-public data class StorePosition(public val era: Long, public val revision: Long) : Comparable<StorePosition> {
+@Serializable
+public data class StorePosition(@SerialName("e") public val era: Long, @SerialName("r") public val revision: Long) :
+    Comparable<StorePosition> {
     override fun compareTo(other: StorePosition): Int = compareValuesBy(this, other, { it.era }, { it.revision })
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/PeerMessage.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/PeerMessage.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
+import org.arbutusnotch.core.forwarding.StorePosition
 import org.arbutusnotch.core.id.AttemptId
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.ClientId
@@ -123,6 +124,8 @@
  * Carries the latest rows, server summaries and crash reports that the sender knows.
  *
  * @property highestFence highest fencing number of an order that the sender knows of; 0 when there is none
+ * @property latestServerChange latest change of the published servers that the sender knows; null when it knows none,
+ * and from instances of earlier versions
  */
 @Serializable
 @SerialName("gossip")
@@ -133,6 +136,7 @@
     public val summaries: List<ServerSummary> = emptyList(),
     public val quarantined: List<QuarantineEntry> = emptyList(),
     public val highestFence: Long = 0,
+    public val latestServerChange: StorePosition? = null,
 ) : PeerMessage
 
 /** Acknowledges a message that has no other reply. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -18,9 +18,11 @@
 import org.arbutusnotch.core.forwarding.AnswerBufferBudget
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.CallerLimits
+import org.arbutusnotch.core.forwarding.MissedChanges
 import org.arbutusnotch.core.forwarding.RouteTable
 import org.arbutusnotch.core.forwarding.ServerRegistry
 import org.arbutusnotch.core.forwarding.StartupRoutes
+import org.arbutusnotch.core.forwarding.WatchTime
 import org.arbutusnotch.core.id.ContentDigest
 import org.arbutusnotch.core.id.Incarnation
 import org.arbutusnotch.core.id.InstanceAddress
@@ -118,12 +120,14 @@
         probe = { server, onResult -> probe(server, onResult) },
         hasEnded = { server -> registry.hasEnded(server, clock.now()) },
     )
-    private val membership: Membership = Membership(ownRow(), link, random, crashReporter)
+    private val membership: Membership =
+        Membership(ownRow(), link, random, crashReporter) { serverFollower.latestChange }
     private val registry = ServerRegistry(settings.drainTime * REMOVED_SERVER_GRACE_SHARE, OUTAGE_GRACE)
     private val answerBufferBudget = AnswerBufferBudget(ANSWER_BUFFER_BYTES)
     private val publishedState = PublishedState(protocols.items, clock, registry) { onRouteTable(it) }
     private val routeFollower = follower(protocols.items.routePrefix, publishedState.routeListener)
-    private val serverFollower = follower(protocols.items.serverPrefix, publishedState.serverListener)
+    private val serverFollower: StoreFollower = follower(protocols.items.serverPrefix, publishedState.serverListener)
+    private val missedServerChanges = MissedChanges()
     private val followers =
         mapOf(protocols.items.routePrefix to routeFollower, protocols.items.serverPrefix to serverFollower)
     private val dispatchService = DispatchService(
@@ -269,6 +273,7 @@
         random = random,
         listener = listener,
         memory = answerBufferBudget,
+        watchTime = { WatchTime.of(membership.counts().reachable) },
     )
 
     private fun endpoint(address: String, handler: RequestHandler) =
@@ -301,7 +306,10 @@
     private fun onMessage(message: PeerMessage, sender: InstanceAddress) {
         val now = clock.now()
         when (message) {
-            is Gossip -> membership.onGossip(message, now)
+            is Gossip -> {
+                membership.onGossip(message, now)
+                message.latestServerChange?.let { missedServerChanges.onPeerKnows(it, serverFollower.position, now) }
+            }
 
             is DispatchRequest -> dispatchService.onRequest(message, now)
 
@@ -335,6 +343,7 @@
             dispatchService.tick(now)
             dispatchClient.tick(now)
             streamOrigins.tick(now)
+            if (missedServerChanges.isOverdue(serverFollower.position, now)) serverFollower.checkForChanges()
             beginServing()
             housekeeping(now)
             advanceShutdown(now)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
@@ -3,6 +3,7 @@
  */
 package org.arbutusnotch.forwarding.membership
 
+import org.arbutusnotch.core.forwarding.StorePosition
 import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.membership.FencingNumberSequence
@@ -21,12 +22,17 @@
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Maintains the view of all instances; gossip also carries the quarantine reports of [crashReporter]. */
+/**
+ * Maintains the view of all instances; gossip also carries the quarantine reports of [crashReporter].
+ *
+ * @param latestServerChange returns the latest change of the published servers that this instance knows
+ */
 internal class Membership(
     own: InstanceRow,
     private val link: PeerLink,
     private val random: Random,
     private val crashReporter: CrashReporter,
+    private val latestServerChange: () -> StorePosition?,
 ) {
     private val log = EventLog("membership")
     private val table = InstanceTable(own, reclaimsAddress = true)
@@ -106,6 +112,7 @@
             heartbeats = table.heartbeatsToSend(),
             quarantined = crashReporter.reportsToGossip(),
             highestFence = fencingNumbers.highest,
+            latestServerChange = latestServerChange(),
         )
         gossipCount += 1
         val otherDomainCount = if (fast || gossipCount % GOSSIPS_PER_CROSS_DOMAIN == 0L) 1 else 0
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/FollowedItems.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/FollowedItems.kt
@@ -27,6 +27,10 @@
     var position: StorePosition? = null
         private set
 
+    /** The latest known change of the items; null before the first listing and while there was none. */
+    var latestChange: StorePosition? = null
+        private set
+
     val values: Collection<StoreItem>
         get() = items.values
 
@@ -56,11 +60,13 @@
         items.clear()
         listed.forEach { items[it.key] = it }
         position = listedPosition
+        listed.maxOfOrNull { it.revision }?.let { recordChange(StorePosition(listedPosition.era, it)) }
         return if (known != null && known.era < listedPosition.era) Replacement.RESTORED else Replacement.UPDATED
     }
 
     /** Applies [change] of the current era, and returns whether it is newer than the known item. */
     fun apply(change: StoreChange): Boolean {
+        recordChange(StorePosition(latestEra, change.revision))
         val known = items[change.key]
         if (known != null && known.revision >= change.revision) return false
         return when (change) {
@@ -73,6 +79,10 @@
         }
     }
 
+    private fun recordChange(change: StorePosition) {
+        if (latestChange.let { it == null || change > it }) latestChange = change
+    }
+
     /** Records that the items are current up to [newPosition], and returns whether that is an advance. */
     fun advanceTo(newPosition: StorePosition): Boolean {
         if (!isAdvance(newPosition)) return false
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoopGroup
 import org.arbutusnotch.core.forwarding.AnswerBufferBudget
 import org.arbutusnotch.core.forwarding.StorePosition
+import org.arbutusnotch.core.forwarding.WatchTime
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.forwarding.http.BufferedCall
 import org.arbutusnotch.forwarding.http.CallEnd
@@ -40,6 +41,11 @@
     fun onStoreFailure()
 }
 
+/**
+ * Follows the items under [prefix].
+ *
+ * @param watchTime returns for how long the next call waits for changes
+ */
 internal class StoreFollower(
     private val prefix: String,
     private val address: InetSocketAddress,
@@ -49,6 +55,7 @@
     private val random: Random,
     private val listener: StoreListener,
     private val memory: AnswerBufferBudget,
+    private val watchTime: () -> Duration = { WatchTime.of(instances = 1) },
 ) {
     private val log = EventLog("store")
     private val items = FollowedItems()
@@ -61,6 +68,9 @@
     /** Number of consecutive calls that led no further. */
     private var fruitlessCalls = 0
     private var current: BufferedCall? = null
+
+    /** Whether [current] waits for changes. */
+    private var isWatching = false
     private var failingSince: Timestamp? = null
 
     /** Time by which the next step follows; null before the start. */
@@ -73,6 +83,10 @@
     val position: StorePosition?
         get() = items.position
 
+    /** The latest known change of the items; null while none is known. */
+    val latestChange: StorePosition?
+        get() = items.latestChange
+
     /** Whether the latest call failed. */
     val isFailing: Boolean
         get() = failingSince != null
@@ -95,6 +109,21 @@
         replace(peerItems, peerPosition)
     }
 
+    /**
+     * Replaces the waiting call, whose answer seems to be lost, by one that does not wait. Has no effect unless a call
+     * waits, since other calls end soon.
+     */
+    fun checkForChanges() {
+        val from = position
+        if (!isWatching || from == null) return
+        log.info("changes_missed") {
+            field("prefix", prefix)
+            field("revision", from.revision)
+        }
+        current?.cancel()
+        watch(from, IMMEDIATE_DURATION)
+    }
+
     private fun list(after: String?) {
         if (after == null) {
             listing = mutableListOf()
@@ -143,12 +172,15 @@
         if (from == null || historyLost || items.needsListing) list(after = null) else watch(from)
     }
 
-    private fun watch(from: StorePosition) {
+    /**
+     * Watches for [duration]. After a failed call the store may have been restored, and a watch names the era only when
+     * it is answered.
+     */
+    private fun watch(from: StorePosition, duration: Duration = if (isFailing) IMMEDIATE_DURATION else watchTime()) {
         val begunAt = clock.now()
-        // After a failed call the store may have been restored, and a watch names the era only when it is answered.
-        val duration = if (isFailing) ERA_CHECK_DURATION else WATCH_DURATION
         val request = protocol.watchRequest(prefix, from.revision, duration)
         call(request, duration + WATCH_MARGIN) { response, era -> onChanges(response, from, era, begunAt) }
+        isWatching = true
     }
 
     private fun onChanges(response: HttpResponseMessage, from: StorePosition, era: Long, begunAt: Timestamp) {
@@ -174,12 +206,14 @@
         val ownStep = step
         val call = BufferedCall(request, CONNECT_TIMEOUT, timeout, memory) { result ->
             if (ownStep == step) {
+                isWatching = false
                 continueAfterFailure {
                     result.fold(success = { onResponse(it, onSuccess) }, failure = { onFailure(it) })
                 }
             }
         }
         current = call
+        isWatching = false
         expectedBy = clock.now() + timeout + STOPPED_MARGIN
         call.start(address, group)
     }
@@ -283,14 +317,11 @@
         /** Timeout of a listing: many times that of a slow store, because an instance cannot serve without one. */
         val LIST_TIMEOUT = 1.seconds
 
-        /** Time for which one call waits for changes; long, because each call incurs a cost. */
-        val WATCH_DURATION = 20.seconds
-
-        /** Time for which a call waits for changes that is to name the era of the store. */
-        val ERA_CHECK_DURATION = 20.milliseconds
+        /** Time for which a call waits for changes that are known to exist, or that is to name the era of the store. */
+        val IMMEDIATE_DURATION = 20.milliseconds
 
-        /** Time after the end of the wait within which the response must arrive. */
-        val WATCH_MARGIN = 2.seconds
+        /** Time after the end of the wait within which the response must arrive: many times that of a slow store. */
+        val WATCH_MARGIN = 700.milliseconds
 
         /** Duration of a watch without changes below which the store has not waited for any. */
         val MINIMUM_WATCH_DURATION = 1.seconds
