Doubt the removal of a server only during a lasting outage of the store

Cause: each failed call counted as an outage, which kept every removed server in use for 2.5 s more, also one whose removal had been heard before the store cut the waiting calls. Ruled out: a removal that was not heard; the log has it a second before the cut.

Change: a removal is doubted only if it is heard during an outage of a second or more, or in the grace after it.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ServerRegistry.kt
@@ -3,7 +3,8 @@
  *
  * An entry that disappears without notice belongs to a server that is about to stop, or it expired during an outage of
  * the registry. In both cases the server keeps getting work for a short grace time: the former still answers, and the
- * latter registers again.
+ * latter registers again. Only an outage that lasts can let an entry expire: a removal that was heard before it, or
+ * around a call that failed for a moment, is certain.
  *
  * What a server announces in its own answers takes precedence over its entry, which may be older. So does what its
  * entry said before the registry was restored from a copy: a process that was leaving or gone does not become usable
@@ -35,6 +36,7 @@
 
     /** Servers that a copy lists although their processes were leaving or gone, and when they may get work again. */
     private val doubtful = HashMap<BackendServerId, Timestamp>()
+    private var outageSince: Timestamp? = null
     private var outageGraceUntil = Timestamp(0)
     private val versionsInUse = LinkedHashMap<PoolVersion, Timestamp>()
 
@@ -59,7 +61,7 @@
      * the registry would have noticed its end, unless its server writes its entry again.
      */
     public fun restore(servers: Collection<BackendServer>, now: Timestamp) {
-        recordOutage(now)
+        outageGraceUntil = maxOf(outageGraceUntil, now + outageGrace)
         val unusable = registered.values.filter { it.leaving || isDoubtful(it.id, now) }
             .associate { it.id to it.startedAt }
         replace(servers, now) { expire(it, now) }
@@ -92,7 +94,7 @@
     private fun expire(id: BackendServerId, now: Timestamp): BackendServer? {
         val server = registered.remove(id) ?: return null
         recordUse(server, now)
-        if (!server.leaving && !isDoubtful(id, now)) removed[id] = RemovedServer(server, removedAt = now)
+        if (!server.leaving && !isDoubtful(id, now)) removed[id] = RemovedServer(server, now, mayHaveExpired(now))
         return server
     }
 
@@ -121,11 +123,27 @@
             .sortedByDescending { it.observedAt }
     }
 
-    /** Records that the registry failed at [now]; entries may have expired although their servers are running. */
-    public fun recordOutage(now: Timestamp) {
-        outageGraceUntil = maxOf(outageGraceUntil, now + outageGrace)
+    /** Records that the registry still fails at [now], and has done so since [since] at the earliest. */
+    public fun recordOutage(now: Timestamp, since: Timestamp = now) {
+        outageSince = minOf(outageSince ?: since, since)
+        extendOutageGrace(now)
     }
 
+    /** Records that the registry answers again at [now]. */
+    public fun recordRecovery(now: Timestamp) {
+        extendOutageGrace(now)
+        outageSince = null
+    }
+
+    private fun extendOutageGrace(now: Timestamp) {
+        if (hasLastingOutage(now)) outageGraceUntil = maxOf(outageGraceUntil, now + outageGrace)
+    }
+
+    private fun hasLastingOutage(now: Timestamp) = outageSince.let { it != null && now >= it + SHORTEST_LIFETIME }
+
+    /** Returns whether an entry that disappears at [now] may have expired although its server is running. */
+    private fun mayHaveExpired(now: Timestamp) = now < outageGraceUntil || hasLastingOutage(now)
+
     /** Returns the servers that may get new work at [now], including those that are paused for this instance. */
     public fun usable(now: Timestamp): List<BackendServer> =
         usableByEntry(now).filterNot { announcements.isLeaving(it) }
@@ -189,14 +207,14 @@
     private fun removeExpired(now: Timestamp) {
         if (removed.isEmpty()) return
         removed.values.removeIf {
-            val isOver =
-                now >= it.removedAt + grace && now >= minOf(outageGraceUntil, it.removedAt + MAXIMUM_OUTAGE_GRACE)
+            val usableUntil = if (it.mayHaveExpired) outageGraceUntil else it.removedAt
+            val isOver = now >= it.removedAt + grace && now >= minOf(usableUntil, it.removedAt + MAXIMUM_OUTAGE_GRACE)
             if (isOver) recordUse(it.server, now)
             isOver
         }
     }
 
-    private class RemovedServer(val server: BackendServer, val removedAt: Timestamp)
+    private class RemovedServer(val server: BackendServer, val removedAt: Timestamp, val mayHaveExpired: Boolean)
 
     private data class PoolVersion(val pool: PoolId, val version: SoftwareVersion)
 
@@ -204,6 +222,9 @@
         /** Limit of stored versions; a pool has few at a time. */
         const val MAXIMUM_VERSIONS = 4_096
 
+        /** Entries are renewed, and do not expire, for at least this long after the registry has failed. */
+        val SHORTEST_LIFETIME = 1.seconds
+
         /** Longest time for which a server stays usable after its entry expired during an outage. */
         val MAXIMUM_OUTAGE_GRACE = 30.seconds
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/PublishedState.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/PublishedState.kt
@@ -6,6 +6,7 @@
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.RouteTable
 import org.arbutusnotch.core.forwarding.ServerRegistry
+import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.telemetry.EventLog
 import kotlin.time.Duration.Companion.days
@@ -40,7 +41,9 @@
             if (change is StoreChange.Written) applyRoutes(change.item)
         }
 
-        override fun onStoreFailure() = Unit
+        override fun onStoreFailure(since: Timestamp) = Unit
+
+        override fun onStoreRecovery() = Unit
     }
 
     /** Applies changes of the backend servers. */
@@ -59,7 +62,9 @@
             is StoreChange.Removed -> removeServer(change)
         }
 
-        override fun onStoreFailure() = registry.recordOutage(clock.now())
+        override fun onStoreFailure(since: Timestamp) = registry.recordOutage(clock.now(), since)
+
+        override fun onStoreRecovery() = registry.recordRecovery(clock.now())
     }
 
     /** Applies the route table in [items] if it is newer than the current one, also from a store that was restored. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -37,8 +37,11 @@
     /** One item changed. */
     fun onChanged(change: StoreChange)
 
-    /** A call to the store failed, so that changes may have been missed. */
-    fun onStoreFailure()
+    /** A call to the store failed, which may have been unavailable since [since]. */
+    fun onStoreFailure(since: Timestamp)
+
+    /** The store answers again after a failure; called before the changes in the answer. */
+    fun onStoreRecovery()
 }
 
 /**
@@ -73,6 +76,9 @@
     private var isWatching = false
     private var failingSince: Timestamp? = null
 
+    /** Time at which [current] was started. */
+    private var callStartedAt = Timestamp(0)
+
     /** Time by which the next step follows; null before the start. */
     private var expectedBy: Timestamp? = null
 
@@ -213,6 +219,7 @@
             }
         }
         current = call
+        callStartedAt = clock.now()
         isWatching = false
         expectedBy = clock.now() + timeout + STOPPED_MARGIN
         call.start(address, group)
@@ -260,7 +267,6 @@
                     field("era", era)
                     field("revision", position?.revision)
                 }
-                listener.onStoreFailure()
                 historyLost = true
                 resumeLater()
             }
@@ -271,12 +277,16 @@
 
     private fun onFailure(end: CallEnd) = when (end) {
         is CallEnd.Complete, CallEnd.Withheld -> Unit
-        is CallEnd.NotSent -> retryAfterFailure(end.detail)
-        is CallEnd.Broken -> retryAfterFailure(end.detail)
+
+        is CallEnd.NotSent -> retryAfterFailure(end.detail, since = callStartedAt)
+
+        // A store that closes the connection was there until now; one that is silent may have been away all the time.
+        is CallEnd.Broken ->
+            retryAfterFailure(end.detail, since = if (end.closedByServer) clock.now() else callStartedAt)
     }
 
-    private fun retryAfterFailure(detail: String) {
-        listener.onStoreFailure()
+    private fun retryAfterFailure(detail: String, since: Timestamp = clock.now()) {
+        listener.onStoreFailure(since)
         if (failingSince == null) {
             failingSince = clock.now()
             log.warn("store_lost") {
@@ -302,6 +312,7 @@
     private fun recordSuccess() {
         val since = failingSince ?: return
         failingSince = null
+        listener.onStoreRecovery()
         log.info("store_regained") {
             field("prefix", prefix)
             field("revision", position?.revision)
