Count answers against the memory budget with what holds them

Other operators saw an instance run out of memory when a faulty server sent bytes without end, and the requests of other callers end with it.

By reading: the decoder's fields of heads and trailers did not count, and framing could take as much as the content, so that such a body never reached its bound and held up the event loop (tick_late of 500 to 700 ms with 20 servers).

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -109,7 +109,8 @@
         fun start() {
             val remaining = deadlineAt - context.now()
             val head = context.protocol.serverRequest(request.message.head, place.server.id, RunPart.Whole, remaining)
-            val started = ServerCall(HttpRequestMessage(head, request.message.body), CONNECT_TIMEOUT, this)
+            val message = HttpRequestMessage(head, request.message.body)
+            val started = ServerCall(message, CONNECT_TIMEOUT, context.answerBufferBudget, this)
             call = started
             started.start(socketAddress(place.server.address), context.group)
         }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/EventRelay.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/EventRelay.kt
@@ -47,6 +47,10 @@
     val bufferedBytes: Int
         get() = maxOf(line.size(), event.size())
 
+    /** Memory in bytes of the incomplete event: it is held twice, in buffers that grow to twice their content. */
+    val heldBytes: Int
+        get() = bufferedBytes * HELD_PER_BUFFERED_BYTE
+
     /** Whether a complete event was relayed, with an id or without. */
     var hasRelayedEvents: Boolean = false
         private set
@@ -124,6 +128,7 @@
     internal companion object {
         /** Maximum size of one event in bytes: a thousand times that of a typical one, which carries a few tokens. */
         const val MAXIMUM_EVENT_BYTES = 65_536
+        private const val HELD_PER_BUFFERED_BYTE = 4
         private const val LINE_FEED = '\n'.code
         private const val ID_FIELD = "id:"
         private const val COMMENT = ":"
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -247,7 +247,8 @@
             }
             val head = context.protocol.relayedRequest(request.message.head, deadlineAt - context.now())
             val marked = head.copy(headers = listOf(HeaderField(RelayedRequests.HEADER, peer.value)) + head.headers)
-            val started = ServerCall(HttpRequestMessage(marked, request.message.body), CONNECT_TIMEOUT, this)
+            val message = HttpRequestMessage(marked, request.message.body)
+            val started = ServerCall(message, CONNECT_TIMEOUT, context.answerBufferBudget, this)
             call = started
             started.start(socketAddress(address), context.group)
         }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -389,7 +389,8 @@
                 remaining = remaining,
                 resumeAfter = relay.lastEventId,
             )
-            val started = ServerCall(HttpRequestMessage(head, request.message.body), CONNECT_TIMEOUT, this)
+            val message = HttpRequestMessage(head, request.message.body)
+            val started = ServerCall(message, CONNECT_TIMEOUT, context.answerBufferBudget, this)
             call = started
             started.start(socketAddress(server.address), context.group)
         }
@@ -442,7 +443,7 @@
             responder.sendContent(relay.accept(content))
             if (relay.eventCount > previousCount) recordEvent()
             if (relay.hasRelayedEvents) requiredVersion = server.version
-            if (!context.answerBufferBudget.resize(bufferedEvent, relay.bufferedBytes)) {
+            if (!context.answerBufferBudget.resize(bufferedEvent, relay.heldBytes)) {
                 return breakRun("no memory for an event")
             }
             if (relay.isOutOfSequence) return breakRun("event out of sequence")
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/BufferedCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/BufferedCall.kt
@@ -31,7 +31,7 @@
     private val maySend: () -> Boolean = { true },
     private val onResult: (Result<HttpResponseMessage, CallEnd>) -> Unit,
 ) : ServerCallListener {
-    private val call = ServerCall(request, connectTimeout, this)
+    private val call = ServerCall(request, connectTimeout, memory, this)
     private val body = BufferedBody(maximumBytes, memory) { abort(it) }
     private var head: ResponseHead? = null
     private var finished = false
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
@@ -8,6 +8,7 @@
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBuf
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -28,6 +29,8 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import jdk.net.ExtendedSocketOptions
+import org.arbutusnotch.core.forwarding.AnswerBufferBudget
+import org.arbutusnotch.core.forwarding.BufferedAnswer
 import java.net.ConnectException
 import java.net.InetSocketAddress
 import kotlin.time.Duration
@@ -74,9 +77,15 @@
     fun onEnd(end: CallEnd)
 }
 
+/**
+ * Sends [request] and passes its response to [listener].
+ *
+ * @param memory budget that all responses of the instance share; the heads and trailers of this one count against it
+ */
 internal class ServerCall(
     private val request: HttpRequestMessage,
     private val connectTimeout: Duration,
+    private val memory: AnswerBufferBudget,
     private val listener: ServerCallListener,
 ) {
     private var channel: Channel? = null
@@ -87,6 +96,13 @@
     private var receivedBytes = 0L
     private var contentBytes = 0L
 
+    /** Bytes received since the decoder has last completed a part of the response, such as lines of a head. */
+    private var undecodedBytes = 0
+
+    /** Number of header fields of the response that are held. */
+    private var heldFields = 0
+    private val heldHead = BufferedAnswer { end(CallEnd.Broken(HEAD_EVICTED)) }
+
     /** Connects to [address] and sends the request. */
     fun start(address: InetSocketAddress, group: EventLoopGroup) {
         val connecting = Bootstrap()
@@ -97,6 +113,7 @@
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(opened: SocketChannel) {
@@ -114,6 +131,11 @@
         }
     }
 
+    /** Reads once before the event loop turns to other connections, so that a fast server does not delay them. */
+    private fun receiveBuffers() =
+        AdaptiveRecvByteBufAllocator(SMALLEST_READ_BYTES, INITIAL_READ_BYTES, LARGEST_READ_BYTES)
+            .maxMessagesPerRead(1)
+
     private fun send() {
         val opened = channel ?: return
         if (ended) return
@@ -130,6 +152,7 @@
     /** Closes the connection; the listener is not called again. */
     fun cancel() {
         ended = true
+        memory.release(heldHead)
         channel?.close()
     }
 
@@ -141,6 +164,7 @@
     private fun end(end: CallEnd) {
         if (ended) return
         ended = true
+        memory.release(heldHead)
         channel?.close()
         listener.onEnd(end)
     }
@@ -154,16 +178,26 @@
 
     private fun describe(cause: Throwable?): String = cause?.message ?: cause?.javaClass?.simpleName ?: "unknown"
 
+    /** Counts the memory of header fields against the budget, also of those that the decoder has not passed on yet. */
+    private fun recordHeldHead() {
+        if (ended) return
+        val bytes = undecodedBytes * HEAP_PER_UNDECODED_BYTE + heldFields * HEAP_BYTES_PER_FIELD
+        if (!memory.resize(heldHead, bytes)) end(CallEnd.Broken(HEAD_EVICTED))
+    }
+
     /**
-     * Limits the bytes of a response that are not content. Blank lines, interim responses, header lines and framing can
-     * arrive endlessly, and the decoder limits only some of them.
+     * Limits the bytes of a response that are not content, and the memory of those that the decoder holds. Blank lines,
+     * interim responses, header lines and framing can arrive endlessly, and the decoder limits only some of them.
      */
     private inner class OverheadLimiter : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            receivedBytes += (message as? ByteBuf)?.readableBytes() ?: 0
+            val bytes = (message as? ByteBuf)?.readableBytes() ?: 0
+            receivedBytes += bytes
+            undecodedBytes += bytes
             context.fireChannelRead(message)
+            recordHeldHead()
             val overhead = receivedBytes - contentBytes
-            val limit = MAXIMUM_OVERHEAD_BYTES + contentBytes
+            val limit = MAXIMUM_OVERHEAD_BYTES + contentBytes / CONTENT_PER_OVERHEAD
             if (overhead > limit) end(CallEnd.Broken("response has $overhead bytes besides its content"))
         }
     }
@@ -176,6 +210,7 @@
                 ReferenceCountUtil.release(message)
                 return
             }
+            undecodedBytes = 0
             if (message.decoderResult().isFailure) {
                 ReferenceCountUtil.release(message)
                 end(CallEnd.Broken("malformed response: ${describe(message.decoderResult().cause())}"))
@@ -193,6 +228,7 @@
                 !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response) &&
                 response.status().code() !in STATUSES_WITHOUT_BODY && request.head.method != "HEAD"
             val headers = response.headers().entries().map { HeaderField(it.key, it.value) }
+            heldFields = headers.size
             listener.onHead(ResponseHead(response.status().code(), response.status().reasonPhrase(), headers))
         }
 
@@ -228,9 +264,23 @@
         const val FIRST_FINAL_STATUS = 200
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
         const val TIMEOUT_MESSAGE = "timed out"
+        const val HEAD_EVICTED = "response buffer budget exhausted by a head or trailers"
 
-        /** Bytes besides content that a response may have on top of its content size: four times the largest head. */
+        /** Memory in bytes of a header field with its name and value, and of each byte of the shortest ones. */
+        const val HEAP_BYTES_PER_FIELD = 192
+        const val HEAP_PER_UNDECODED_BYTE = 48
+
+        /**
+         * Bytes besides content that a response may have: four times the largest head, and one for so many bytes of
+         * content. Chunks of a few bytes without end would keep the processor from other requests.
+         */
         const val MAXIMUM_OVERHEAD_BYTES = 262_144
+        const val CONTENT_PER_OVERHEAD = 4
+
+        /** Sizes in bytes of the buffers for one read; decoding the largest takes a millisecond or two. */
+        const val SMALLEST_READ_BYTES = 64
+        const val INITIAL_READ_BYTES = 2_048
+        const val LARGEST_READ_BYTES = 16_384
 
         /** Idle time before the first probe, and between probes: a dead connection is detected after three seconds. */
         const val KEEPALIVE_SECONDS = 1
