Share the latest values per key and the start of server calls

RouteDurations and GenerationDurations kept the same queue per key; RecentValues holds it now. Three exchanges built their server calls alike. A follower passes the start of a call to its failure instead of keeping it in a field. The memory budget does no work for an answer whose size is unchanged. No change of behaviour.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/AnswerBufferBudget.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/AnswerBufferBudget.kt
@@ -26,6 +26,7 @@
      * @return whether the answer may stay buffered; if not, it has been released and must be dropped
      */
     public fun resize(answer: BufferedAnswer, bytes: Int): Boolean {
+        if (buffered[answer] == bytes) return true
         release(answer)
         if (bytes == 0) return true
         while (usedBytes + bytes > maximumBytes) {
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/GenerationDurations.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/GenerationDurations.kt
@@ -6,12 +6,12 @@
  */
 package org.arbutusnotch.core.forwarding
 
-import org.arbutusnotch.core.collection.BoundedMap
+import org.arbutusnotch.core.collection.RecentValues
 import org.arbutusnotch.core.id.PoolId
 import kotlin.time.Duration
 
 public class GenerationDurations {
-    private val recent = BoundedMap<PoolId, ArrayDeque<Observation>>(MAXIMUM_POOLS)
+    private val recent = RecentValues<PoolId, Observation>(keyLimit = MAXIMUM_POOLS, valueLimit = OBSERVATIONS)
 
     /**
      * Records that a generation in [pool] that declared [outputTokens] tokens was answered after [elapsed], with its
@@ -19,9 +19,7 @@
      */
     public fun record(pool: PoolId, outputTokens: Int, firstEventAfter: Duration, elapsed: Duration) {
         if (outputTokens <= 0) return
-        val observations = recent.getOrPut(pool) { ArrayDeque() }
-        observations.addLast(Observation(firstEventAfter, (elapsed - firstEventAfter) / outputTokens))
-        if (observations.size > OBSERVATIONS) observations.removeFirst()
+        recent.add(pool, Observation(firstEventAfter, perToken = (elapsed - firstEventAfter) / outputTokens))
     }
 
     /**
@@ -30,7 +28,7 @@
      */
     public fun expected(pool: PoolId, outputTokens: Int, objective: Duration): Duration? {
         val observations = recent[pool]
-        if (observations == null || observations.size < MINIMUM_OBSERVATIONS || outputTokens <= 0) return null
+        if (observations.size < MINIMUM_OBSERVATIONS || outputTokens <= 0) return null
         val firstEventAfter = maxOf(objective, observations.maxOf { it.firstEventAfter })
         return firstEventAfter + observations.maxOf { it.perToken } * outputTokens * HEADROOM
     }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/RouteDurations.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/RouteDurations.kt
@@ -5,23 +5,19 @@
  */
 package org.arbutusnotch.core.forwarding
 
-import org.arbutusnotch.core.collection.BoundedMap
+import org.arbutusnotch.core.collection.RecentValues
 import kotlin.time.Duration
 
 public class RouteDurations {
-    private val recent = BoundedMap<String, ArrayDeque<Duration>>(MAXIMUM_ROUTES)
+    private val recent = RecentValues<String, Duration>(keyLimit = MAXIMUM_ROUTES, valueLimit = OBSERVATIONS)
 
     /** Records that a request of the route named [route] was answered after [elapsed]. */
-    public fun record(route: String, elapsed: Duration) {
-        val durations = recent.getOrPut(route) { ArrayDeque() }
-        durations.addLast(elapsed)
-        if (durations.size > OBSERVATIONS) durations.removeFirst()
-    }
+    public fun record(route: String, elapsed: Duration): Unit = recent.add(route, elapsed)
 
     /** Returns how long a request of [route] may take: the longest of the latest ones, or the objective if longer. */
     public fun expected(route: Route): Duration = maxOf(
         route.objective,
-        recent[route.name]?.maxOrNull() ?: Duration.ZERO,
+        recent[route.name].maxOrNull() ?: Duration.ZERO,
     )
 
     private companion object {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -14,7 +14,6 @@
 import org.arbutusnotch.forwarding.dispatch.PlaceUse
 import org.arbutusnotch.forwarding.http.BufferedBody
 import org.arbutusnotch.forwarding.http.CallEnd
-import org.arbutusnotch.forwarding.http.HttpRequestMessage
 import org.arbutusnotch.forwarding.http.Responder
 import org.arbutusnotch.forwarding.http.ResponseHead
 import org.arbutusnotch.forwarding.http.ServerCall
@@ -109,8 +108,7 @@
         fun start() {
             val remaining = deadlineAt - context.now()
             val head = context.protocol.serverRequest(request.message.head, place.server.id, RunPart.Whole, remaining)
-            val message = HttpRequestMessage(head, request.message.body)
-            val started = ServerCall(message, CONNECT_TIMEOUT, context.answerBufferBudget, this)
+            val started = newServerCall(head, this)
             call = started
             started.start(socketAddress(place.server.address), context.group)
         }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -29,6 +29,7 @@
 import org.arbutusnotch.forwarding.http.DisconnectListener
 import org.arbutusnotch.forwarding.http.HeaderField
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
+import org.arbutusnotch.forwarding.http.RequestHead
 import org.arbutusnotch.forwarding.http.Responder
 import org.arbutusnotch.forwarding.http.ResponseHead
 import org.arbutusnotch.forwarding.http.ServerCall
@@ -247,8 +248,7 @@
             }
             val head = context.protocol.relayedRequest(request.message.head, deadlineAt - context.now())
             val marked = head.copy(headers = listOf(HeaderField(RelayedRequests.HEADER, peer.value)) + head.headers)
-            val message = HttpRequestMessage(marked, request.message.body)
-            val started = ServerCall(message, CONNECT_TIMEOUT, context.answerBufferBudget, this)
+            val started = newServerCall(marked, this)
             call = started
             started.start(socketAddress(address), context.group)
         }
@@ -403,6 +403,12 @@
         responder.send(LocalResponses.forwarded(head), bytes, onWritten = { body.discard() })
     }
 
+    /** Returns a call that sends [head] with the body of the request; it is not started. */
+    protected fun newServerCall(head: RequestHead, listener: ServerCallListener): ServerCall {
+        val message = HttpRequestMessage(head, request.message.body)
+        return ServerCall(message, CONNECT_TIMEOUT, context.answerBufferBudget, listener)
+    }
+
     /** Returns an empty body for an answer; [onDropped] is called if it grows too large or its memory is reclaimed. */
     protected fun newAnswerBody(onDropped: (String) -> Unit): BufferedBody =
         BufferedBody(MAXIMUM_COLLECTED_BYTES, context.answerBufferBudget, onDropped).also { bodies += it }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -389,8 +389,7 @@
                 remaining = remaining,
                 resumeAfter = relay.lastEventId,
             )
-            val message = HttpRequestMessage(head, request.message.body)
-            val started = ServerCall(message, CONNECT_TIMEOUT, context.answerBufferBudget, this)
+            val started = newServerCall(head, this)
             call = started
             started.start(socketAddress(server.address), context.group)
         }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -76,9 +76,6 @@
     private var isWatching = false
     private var failingSince: Timestamp? = null
 
-    /** Time at which [current] was started. */
-    private var callStartedAt = Timestamp(0)
-
     /** Time by which the next step follows; null before the start. */
     private var expectedBy: Timestamp? = null
 
@@ -210,18 +207,18 @@
     ) {
         step += 1
         val ownStep = step
+        val startedAt = clock.now()
         val call = BufferedCall(request, CONNECT_TIMEOUT, timeout, memory) { result ->
             if (ownStep == step) {
                 isWatching = false
                 continueAfterFailure {
-                    result.fold(success = { onResponse(it, onSuccess) }, failure = { onFailure(it) })
+                    result.fold(success = { onResponse(it, onSuccess) }, failure = { onFailure(it, startedAt) })
                 }
             }
         }
         current = call
-        callStartedAt = clock.now()
         isWatching = false
-        expectedBy = clock.now() + timeout + STOPPED_MARGIN
+        expectedBy = startedAt + timeout + STOPPED_MARGIN
         call.start(address, group)
     }
 
@@ -275,14 +272,14 @@
         }
     }
 
-    private fun onFailure(end: CallEnd) = when (end) {
+    private fun onFailure(end: CallEnd, startedAt: Timestamp) = when (end) {
         is CallEnd.Complete, CallEnd.Withheld -> Unit
 
-        is CallEnd.NotSent -> retryAfterFailure(end.detail, since = callStartedAt)
+        is CallEnd.NotSent -> retryAfterFailure(end.detail, since = startedAt)
 
         // A store that closes the connection was there until now; one that is silent may have been away all the time.
         is CallEnd.Broken ->
-            retryAfterFailure(end.detail, since = if (end.closedByServer) clock.now() else callStartedAt)
+            retryAfterFailure(end.detail, since = if (end.closedByServer) clock.now() else startedAt)
     }
 
     private fun retryAfterFailure(detail: String, since: Timestamp = clock.now()) {
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LateRequestTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LateRequestTest.kt
@@ -120,9 +120,16 @@
         listOf(testServer("d", engine.address, ServerStage.DECODE)),
     ).also { resources += it }
 
-    private fun InstanceFixture.stream(id: String, tokens: Int, route: String = "stream") =
+    private fun InstanceFixture.stream(id: String, tokens: Int, route: String) =
         call("/$route/x", id, headers = "tokens: 10,$tokens\r\n")
 
+    /** Stops the instance and sends it a stream of [tokens] events a moment later. */
+    private fun InstanceFixture.streamDuringShutdown(tokens: Int, route: String = "stream"): ReceivedResponse? {
+        instance.stop()
+        Thread.sleep(LATE_STREAM_MILLIS)
+        return stream("late", tokens, route)
+    }
+
     /** Has the instance answer as many streams of [tokens] events as it needs to predict others. */
     private fun InstanceFixture.observeStreams(tokens: Int, route: String) {
         val answers = (1..OBSERVED_STREAMS).map { CompletableFuture.supplyAsync { stream("first-$it", tokens, route) } }
@@ -137,9 +144,7 @@
     @ValueSource(strings = ["stream", "resumable"])
     fun `stream of unknown duration is refused during a shutdown`(route: String) {
         val fixture = engineInstance()
-        fixture.instance.stop()
-        Thread.sleep(LATE_STREAM_MILLIS)
-        val answer = fixture.stream("late", LONG_STREAM, route)
+        val answer = fixture.streamDuringShutdown(LONG_STREAM, route)
         expectThat(answer).isNotNull().and {
             get { status }.isEqualTo(503)
             get { header("X-Outcome") }.isEqualTo("not_run")
@@ -152,9 +157,7 @@
     fun `long stream is refused during a shutdown although shorter ones were answered`() {
         val fixture = engineInstance()
         fixture.observeStreams(SHORT_STREAM, "resumable")
-        fixture.instance.stop()
-        Thread.sleep(LATE_STREAM_MILLIS)
-        expectThat(fixture.stream("late", LONG_STREAM)?.status).isEqualTo(503)
+        expectThat(fixture.streamDuringShutdown(LONG_STREAM)?.status).isEqualTo(503)
         expectThat(engine.requests.mapNotNull { it.header("id") }).doesNotContain("late")
     }
 
@@ -163,9 +166,7 @@
     fun `short stream is served during a shutdown although longer ones were answered`() {
         val fixture = engineInstance()
         fixture.observeStreams(LONG_STREAM, "stream")
-        fixture.instance.stop()
-        Thread.sleep(LATE_STREAM_MILLIS)
-        val answer = fixture.stream("late", SHORT_STREAM)
+        val answer = fixture.streamDuringShutdown(SHORT_STREAM)
         expectThat(answer).isNotNull().and {
             get { status }.isEqualTo(200)
             get { complete }.isTrue()
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/LostAnswerTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/LostAnswerTest.kt
@@ -77,7 +77,7 @@
 
     /** Returns the revision of the entry of the leaving server as the instance knows it. */
     private fun InstanceFixture.knownRevision(): Long? {
-        val snapshot = get(control, ControlHandler.SNAPSHOT_PATH)?.body.orEmpty()
+        val snapshot = get(controlAddress, ControlHandler.SNAPSHOT_PATH)?.body.orEmpty()
         val parts = StoreSnapshot.decode(snapshot.toByteArray(Charsets.ISO_8859_1)).get()?.parts.orEmpty()
         return parts.flatMap { it.storeItems() }.singleOrNull { it.key == "servers/a" }?.revision
     }
