Read the store before the origin of a stream is concluded from the versions

Cause: when no instance names the origin, OriginResolver took the only version of its registry, however old the registry was; a history read once was used again. Evidence: three tests of StreamVersionTest, an instance cut off from the store with a complete registry and with a history read before, and one that lost a single answer of the store. All three were answered 200 at the other version before the change and are refused, not run, after it.

Ruled out: the answers of peers; they name the origin or nothing, and win over the versions.

Change: lookups from the versions wait for one call to the store that begins after them and does not wait for changes. Its changes count beside the registry. Without an answer that continues what is known, the take-up is refused with a time to return.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/PublishedHistory.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/PublishedHistory.kt
@@ -29,6 +29,10 @@
     public val written: List<BackendServer>,
     public val removed: Set<BackendServerId>,
 ) {
+    /** The servers at the end of the history and as they were written in it. */
+    public val servers: List<BackendServer>
+        get() = listed.map { it.server } + written
+
     /** Returns the versions that servers of [pool] have had since [since]; null if the history does not tell. */
     public fun versions(pool: PoolId, since: Timestamp): Set<SoftwareVersion>? {
         val inPool = listed.filter { it.server.pool == pool }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -172,6 +172,7 @@
         items = protocols.items,
         group = group,
         memory = answerBufferBudget,
+        position = { serverFollower.position },
         readServer = { publishedState.readServer(it) },
     )
     private val context = ForwardingContext(
@@ -182,7 +183,7 @@
         dispatch = dispatchClient,
         announcementHandler = announcementHandler,
         crashReporter = crashReporter,
-        originResolver = OriginResolver(streamOrigins, registry, historyReader::read) { clock.now() },
+        originResolver = OriginResolver(streamOrigins, registry, historyReader) { clock.now() },
         random = random,
         metrics = metrics,
         answerBufferBudget = answerBufferBudget,
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreHistoryReader.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreHistoryReader.kt
@@ -12,6 +12,7 @@
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.ListedServer
 import org.arbutusnotch.core.forwarding.PublishedHistory
+import org.arbutusnotch.core.forwarding.StorePosition
 import org.arbutusnotch.forwarding.http.BufferedCall
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
 import org.arbutusnotch.forwarding.http.HttpResponseMessage
@@ -20,9 +21,22 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** Reads from the store how the servers have changed. */
+internal interface ServerHistory {
+    /** Calls [onResult] with the history of the server entries; with null when the store does not answer. */
+    fun read(onResult: (PublishedHistory?) -> Unit)
+
+    /**
+     * Calls [onResult] with the servers that were written since this instance last heard of changes; with null when the
+     * store does not answer or does not tell.
+     */
+    fun readRecent(onResult: (List<BackendServer>?) -> Unit)
+}
+
 /**
  * Reads the history of the server entries.
  *
+ * @param position returns the position up to which this instance knows the entries
  * @param readServer decodes an entry; returns null if it describes no server
  */
 internal class StoreHistoryReader(
@@ -31,12 +45,43 @@
     private val items: StoreItemReader,
     private val group: EventLoopGroup,
     private val memory: AnswerBufferBudget,
+    private val position: () -> StorePosition?,
     private val readServer: (StoreItem) -> BackendServer?,
-) {
+) : ServerHistory {
     private val log = EventLog("store")
 
-    /** Calls [onResult] with the history of the server entries; with null when the store does not answer. */
-    fun read(onResult: (PublishedHistory?) -> Unit) = Search(onResult).list(after = null)
+    override fun read(onResult: (PublishedHistory?) -> Unit) = Search(onResult).list(after = null)
+
+    override fun readRecent(onResult: (List<BackendServer>?) -> Unit) {
+        val from = position() ?: return onResult(null)
+        fun fail(detail: String) {
+            reportFailure(detail)
+            onResult(null)
+        }
+        call(protocol.watchRequest(items.serverPrefix, from.revision, WAIT), ::fail) { response ->
+            val era = protocol.readEra(response.head) ?: from.era
+            val read = response.takeIf { it.head.status == OK && era == from.era }
+                ?.let { protocol.readChanges(it.body) }
+            if (read == null) {
+                fail("status ${response.head.status}, era $era")
+            } else {
+                onResult(writtenServers(read.changes))
+            }
+        }
+    }
+
+    private fun call(
+        request: HttpRequestMessage,
+        onFailure: (String) -> Unit,
+        onResponse: (HttpResponseMessage) -> Unit,
+    ) = BufferedCall(request, CONNECT_TIMEOUT, TIMEOUT, memory) { result ->
+        result.fold(success = onResponse, failure = { onFailure(it.toString()) })
+    }.start(address, group)
+
+    private fun reportFailure(detail: String) = log.info("history_unavailable") { field("detail", detail) }
+
+    private fun writtenServers(changes: List<StoreChange>) =
+        changes.filterIsInstance<StoreChange.Written>().mapNotNull { readServer(it.item) }
 
     private inner class Search(private val onResult: (PublishedHistory?) -> Unit) {
         private val listing = mutableListOf<StoreItem>()
@@ -77,14 +122,11 @@
             }
         }
 
-        private fun call(request: HttpRequestMessage, onResponse: (HttpResponseMessage) -> Unit) {
-            BufferedCall(request, CONNECT_TIMEOUT, TIMEOUT, memory) { result ->
-                result.fold(success = onResponse, failure = { fail(it.toString()) })
-            }.start(address, group)
-        }
+        private fun call(request: HttpRequestMessage, onResponse: (HttpResponseMessage) -> Unit) =
+            call(request, ::fail, onResponse)
 
         private fun fail(detail: String) {
-            log.info("history_unavailable") { field("detail", detail) }
+            reportFailure(detail)
             onResult(null)
         }
 
@@ -94,7 +136,7 @@
                 field("listed_revision", listedAt)
                 field("changes", changes.size)
             }
-            val written = changes.filterIsInstance<StoreChange.Written>().mapNotNull { readServer(it.item) }
+            val written = writtenServers(changes)
             val removed = changes.filterIsInstance<StoreChange.Removed>().map { items.serverId(it.key) }
             val listed = listing.mapNotNull { item -> readServer(item)?.let { ListedServer(it, item.created) } }
             onResult(PublishedHistory(listed, firstRevision = reached, written, removed.toSet()))
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/StreamVersionTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/StreamVersionTest.kt
@@ -14,6 +14,8 @@
 import org.arbutusnotch.forwarding.fixture.testServer
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -221,6 +223,45 @@
         awaitUntil("the stream is taken up") { instance.takeUp("t2", stream = "lost")?.body == eventText(3..5) }
     }
 
+    /** Guards against a guess by an instance that has not heard of the version that began the stream meanwhile. */
+    @ParameterizedTest
+    @ValueSource(longs = [0, KNOWN_LIFETIME_MILLIS])
+    fun `stream of unknown origin is not taken up by an instance that is cut off from the store`(servedMillis: Long) {
+        val known = server { events() }
+        val missed = server { events() }
+        store.put("servers/known", decode("known", known, version = "1"))
+        val instance = instances(1).single()
+        Thread.sleep(servedMillis)
+        expectThat(instance.takeUp("t1", stream = "lost-1")?.body).isEqualTo(eventText(3..5))
+        awaitUntil("both watches wait") { store.waitingWatches == 2 }
+        store.silent = true
+        store.loseWatchAnswers(2)
+        store.put("servers/missed", decode("missed", missed, version = "2"))
+        val answer = instance.takeUp("t2", stream = "lost-2")
+        expectThat(answer?.status).isEqualTo(503)
+        expectThat(answer?.header("Retry-After")).isNotNull()
+        expectThat(known.requests.map { it.header("id") }).isEqualTo(listOf("t1"))
+        expectThat(missed.requests).isEmpty()
+    }
+
+    /** Guards against a guess by an instance whose answer from the store about another version was lost. */
+    @Test
+    fun `stream of unknown origin is not taken up after the store told other instances of another version`() {
+        val known = server { events() }
+        val missed = server { events() }
+        store.put("servers/known", decode("known", known, version = "1"))
+        val instance = instances(1).single()
+        expectThat(instance.takeUp("t1", stream = "lost-1")?.body).isEqualTo(eventText(3..5))
+        awaitUntil("both watches wait") { store.waitingWatches == 2 }
+        store.loseWatchAnswers(1)
+        store.put("servers/missed", decode("missed", missed, version = "2"))
+        val answer = instance.takeUp("t2", stream = "lost-2")
+        expectThat(answer?.status).isEqualTo(503)
+        expectThat(answer?.header("Retry-After")).isNull()
+        expectThat(known.requests.map { it.header("id") }).isEqualTo(listOf("t1"))
+        expectThat(missed.requests).isEmpty()
+    }
+
     /** Guards against events that a caller gets twice from a server that ignores where the stream was broken off. */
     @Test
     fun `server that begins a taken-up stream anew is not relayed`() {
@@ -291,6 +332,9 @@
     }
 
     private companion object {
+        /** Time after which an instance knows itself which versions may have begun a stream that still runs. */
+        const val KNOWN_LIFETIME_MILLIS = 5_200L
+
         /** Time for which a stream takes all memory of its server. */
         const val BLOCKED_MILLIS = 900L
 
