Tell an instance that has not answered from an origin that nobody knows

Callers of streams that could go on were refused for good: after the loss of an instance, or when an instance was out of step itself, a question that nobody answered in time counted like the answer that nobody keeps the origin, and with two versions in service the take-up got no time to return. Instances that had just become unreachable were not asked at all, although a message reaches them as soon as a pause or a cut ends.

Unavailable is refused with a time to return. StreamOriginsTest checks which of the two it is, where it accepted null for both.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/stream/StreamOrigin.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/stream/StreamOrigin.kt
@@ -26,6 +26,6 @@
     /** Several versions may have begun the stream, and nobody is left who knows which. */
     public data object Unknown : OriginLookup()
 
-    /** The store does not say at present which versions have served. */
+    /** The store, or an instance that may know the origin, does not answer at present. */
     public data object Unavailable : OriginLookup()
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -162,7 +162,7 @@
     )
     private val streamOrigins = StreamOrigins(
         serving = { membership.serving().filter { it.address != self.address } },
-        reachable = { membership.reachablePeers() },
+        asked = { membership.reachablePeers() + membership.recentlyLost(clock.now()) },
         send = { target, message -> deliver(target, message) },
         now = { clock.now() },
     )
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/stream/OriginResolver.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/stream/OriginResolver.kt
@@ -50,11 +50,13 @@
             onResult(lookup)
         }
         if (stream == null) return resolveFromVersions(route) { finish(it, "versions") }
-        origins.find(stream) { origin ->
-            if (origin != null) {
-                finish(OriginLookup.Known(origin), "instances")
-            } else {
-                resolveFromVersions(route) { finish(it, "versions") }
+        origins.find(stream) { kept ->
+            when (kept) {
+                is OriginLookup.Known -> finish(kept, "instances")
+
+                // An instance that has not answered may know what the versions leave open.
+                OriginLookup.Unknown, OriginLookup.Unavailable ->
+                    resolveFromVersions(route) { finish(if (it == OriginLookup.Unknown) kept else it, "versions") }
             }
         }
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/stream/StreamOrigins.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/stream/StreamOrigins.kt
@@ -11,6 +11,7 @@
 import org.arbutusnotch.core.membership.InstanceView
 import org.arbutusnotch.core.message.StreamMessage
 import org.arbutusnotch.core.stream.OriginKeepers
+import org.arbutusnotch.core.stream.OriginLookup
 import org.arbutusnotch.core.stream.StreamOrigin
 import org.arbutusnotch.core.stream.StreamOriginTable
 import org.arbutusnotch.core.time.Timestamp
@@ -20,11 +21,11 @@
  * Tracks the origins of streams.
  *
  * @param serving returns the other instances that serve
- * @param reachable returns the other instances that may know an origin
+ * @param asked returns the other instances that may know an origin, also those that have just become unreachable
  */
 internal class StreamOrigins(
     private val serving: () -> List<InstanceView>,
-    private val reachable: () -> List<InstanceView>,
+    private val asked: () -> List<InstanceView>,
     private val send: (InstanceAddress, StreamMessage) -> Unit,
     private val now: () -> Timestamp,
 ) {
@@ -48,11 +49,14 @@
         }
     }
 
-    /** Calls [onFound] with the origin of [stream]; with null if no instance that answers in time knows it. */
-    fun find(stream: RequestId, onFound: (StreamOrigin?) -> Unit) {
-        val known = table.find(stream, now())
-        val keepers = if (known == null) OriginKeepers.select(stream, reachable(), ASKED_INSTANCES) else emptyList()
-        if (keepers.isEmpty()) return onFound(known)
+    /**
+     * Calls [onFound] with the origin of [stream] as instances keep it. It is unknown if all that may keep it answer that
+     * they do not, and unavailable if some do not answer in time.
+     */
+    fun find(stream: RequestId, onFound: (OriginLookup) -> Unit) {
+        table.find(stream, now())?.let { return onFound(OriginLookup.Known(it)) }
+        val keepers = OriginKeepers.select(stream, asked(), ASKED_INSTANCES)
+        if (keepers.isEmpty()) return onFound(OriginLookup.Unknown)
         val question = questions.getOrPut(stream) { PendingQuestion(keepers.toMutableSet(), now() + ANSWER_TIME) }
         question.waiting += onFound
         if (question.waiting.size == 1) sendQuestion(stream, question)
@@ -81,11 +85,15 @@
     private fun onAnswer(answer: StreamMessage.Answer, sender: InstanceAddress) {
         val question = questions[answer.stream] ?: return
         question.unanswered -= sender
-        if (answer.origin != null || question.unanswered.isEmpty()) end(answer.stream, answer.origin)
+        val origin = answer.origin
+        when {
+            origin != null -> end(answer.stream, OriginLookup.Known(origin))
+            question.unanswered.isEmpty() -> end(answer.stream, OriginLookup.Unknown)
+        }
     }
 
-    private fun end(stream: RequestId, origin: StreamOrigin?) {
-        questions.remove(stream)?.waiting?.forEach { it(origin) }
+    private fun end(stream: RequestId, lookup: OriginLookup) {
+        questions.remove(stream)?.waiting?.forEach { it(lookup) }
     }
 
     /** Repeats unconfirmed notices and unanswered questions, and drops what is no longer of use. */
@@ -93,7 +101,7 @@
         notices.values.removeIf { it.sends >= MAXIMUM_SENDS || now >= it.expiresAt }
         notices.entries.toList().forEach { (key, notice) -> if (now >= notice.nextSendAt) sendNotice(key, notice) }
         questions.entries.toList().forEach { (stream, question) ->
-            if (now >= question.endsAt) end(stream, origin = null) else sendQuestion(stream, question)
+            if (now >= question.endsAt) end(stream, OriginLookup.Unavailable) else sendQuestion(stream, question)
         }
         if (now < nextCleanUpAt) return
         nextCleanUpAt = now + CLEAN_UP_INTERVAL
@@ -124,7 +132,7 @@
     )
 
     private class PendingQuestion(val unanswered: MutableSet<InstanceAddress>, val endsAt: Timestamp) {
-        val waiting = mutableListOf<(StreamOrigin?) -> Unit>()
+        val waiting = mutableListOf<(OriginLookup) -> Unit>()
         var nextSendAt: Timestamp = Timestamp(0)
     }
 
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/StreamVersionTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/StreamVersionTest.kt
@@ -199,6 +199,24 @@
         expectThat(old.requests + new.requests).isEmpty()
     }
 
+    /** Guards against a stream that is given up although an instance that does not answer at the moment may know it. */
+    @ParameterizedTest
+    @ValueSource(longs = [0, SUSPECTED_MILLIS])
+    fun `take-up may return while an instance that may know the origin does not answer`(silentMillis: Long) {
+        val old = server { events() }
+        val new = server { events() }
+        store.put("servers/old", decode("old", old, version = "1"))
+        store.put("servers/new", decode("new", new, version = "2"))
+        val instances = instances(2)
+        instances[0].crash()
+        Thread.sleep(silentMillis)
+        val answer = instances[1].takeUp("t1", stream = "lost")
+        expectThat(answer?.status).isEqualTo(503)
+        expectThat(answer?.header("Retry-After")).isNotNull()
+        expectThat(answer?.header("X-Outcome")).isEqualTo("not_run")
+        expectThat(old.requests + new.requests).isEmpty()
+    }
+
     /** Guards against streams that are refused although only one version can have begun them. */
     @Test
     fun `stream of unknown origin is taken up while only one version has served`() {
@@ -338,6 +356,9 @@
         /** Time for which a stream takes all memory of its server. */
         const val BLOCKED_MILLIS = 900L
 
+        /** Time after which an instance that sends nothing counts as unreachable. */
+        const val SUSPECTED_MILLIS = 2_500L
+
         /** Time in which the events of a server reach its caller. */
         const val EVENT_MILLIS = 200L
 
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/stream/StreamOriginsTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/stream/StreamOriginsTest.kt
@@ -14,11 +14,11 @@
 import org.arbutusnotch.core.message.InstanceRow
 import org.arbutusnotch.core.message.InstanceState
 import org.arbutusnotch.core.message.StreamMessage
+import org.arbutusnotch.core.stream.OriginLookup
 import org.arbutusnotch.core.stream.StreamOrigin
 import org.arbutusnotch.core.time.Timestamp
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
-import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 import kotlin.time.Duration.Companion.milliseconds
@@ -46,7 +46,7 @@
 
     private fun instance(address: InstanceAddress) = StreamOrigins(
         serving = { peersOf(address) },
-        reachable = { peersOf(address) },
+        asked = { peersOf(address) },
         send = { target, message -> deliver(address, target, message) },
         now = { now },
     )
@@ -72,9 +72,9 @@
         fleet.getValue(holder).record(stream, origin, number = 1, expiresAt = now + 5.seconds)
 
     /** Returns what each remaining instance finds within [millis]; instances that have no answer yet are left out. */
-    private fun findEverywhere(millis: Int = 200): List<StreamOrigin?> {
-        val found = mutableListOf<StreamOrigin?>()
-        fleet.filterKeys { it !in lost }.values.forEach { it.find(stream) { origin -> found += origin } }
+    private fun findEverywhere(millis: Int = 200): List<OriginLookup> {
+        val found = mutableListOf<OriginLookup>()
+        fleet.filterKeys { it !in lost }.values.forEach { it.find(stream) { lookup -> found += lookup } }
         advance(millis)
         return found
     }
@@ -87,7 +87,7 @@
     fun `every instance finds the origin after its holder is lost`() {
         record(addresses[0])
         lost += addresses[0]
-        expectThat(findEverywhere()).isEqualTo(List(5) { origin })
+        expectThat(findEverywhere()).isEqualTo(List(5) { OriginLookup.Known(origin) })
     }
 
     /** Guards against an origin that is lost with the first datagrams. */
@@ -97,20 +97,27 @@
         record(addresses[1])
         advance(200)
         lost += addresses[1]
-        expectThat(findEverywhere()).isEqualTo(List(5) { origin })
+        expectThat(findEverywhere()).isEqualTo(List(5) { OriginLookup.Known(origin) })
     }
 
     /** Guards against a caller that waits for instances that are gone. */
     @Test
-    fun `question ends when nobody answers`() {
+    fun `question ends without a verdict when nobody answers`() {
         lost += addresses.drop(1)
-        expectThat(findEverywhere(millis = 150)).isEqualTo(listOf(null))
+        expectThat(findEverywhere(millis = 150)).isEqualTo(listOf(OriginLookup.Unavailable))
+    }
+
+    /** Guards against an origin that counts as unknown although an instance that may keep it has not answered. */
+    @Test
+    fun `origin is not unknown while one instance has not answered`() {
+        lost += addresses[0]
+        expectThat(findEverywhere()).isEqualTo(List(5) { OriginLookup.Unavailable })
     }
 
     /** Guards against a caller that waits for the end of the question although all have answered. */
     @Test
     fun `origin that nobody knows is unknown at once`() {
-        expectThat(findEverywhere(millis = 0)).isEqualTo(List(6) { null })
+        expectThat(findEverywhere(millis = 0)).isEqualTo(List(6) { OriginLookup.Unknown })
     }
 
     /** Guards against messages without end to instances of an earlier release, which do not understand them. */
@@ -128,7 +135,7 @@
         record(addresses[0])
         advance(6_000)
         expectThat(fleet.values.map { it.size }).isEqualTo(List(6) { 0 })
-        expectThat(findEverywhere().filterNotNull()).hasSize(0)
+        expectThat(findEverywhere()).isEqualTo(List(6) { OriginLookup.Unknown })
     }
 
     private companion object {
