Test the take-up of a stream at an instance that stood still

The test stops the thread of an instance by its clock, lets another version join and begin a stream at a second instance, ends that one and takes the stream up at the first as it wakes.

--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/StreamVersionTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/StreamVersionTest.kt
@@ -6,12 +6,15 @@
 import org.arbutusnotch.core.forwarding.ServerStage
 import org.arbutusnotch.forwarding.fixture.AnswerWriter
 import org.arbutusnotch.forwarding.fixture.InstanceFixture
+import org.arbutusnotch.forwarding.fixture.PausableClock
 import org.arbutusnotch.forwarding.fixture.RawCaller
 import org.arbutusnotch.forwarding.fixture.ScriptedServer
 import org.arbutusnotch.forwarding.fixture.StandInStore
 import org.arbutusnotch.forwarding.fixture.awaitUntil
 import org.arbutusnotch.forwarding.fixture.testRoutes
 import org.arbutusnotch.forwarding.fixture.testServer
+import org.arbutusnotch.telemetry.Clock
+import org.arbutusnotch.telemetry.MonotonicClock
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
@@ -46,14 +49,15 @@
         testServer(id, server.address, ServerStage.DECODE, leaving = leaving, version = version)
 
     /** Starts [count] instances one after the other, so that they know each other. */
-    private fun instances(count: Int): List<InstanceFixture> {
+    private fun instances(count: Int, clock: (Int) -> Clock = { MonotonicClock() }): List<InstanceFixture> {
         val started = mutableListOf<InstanceFixture>()
-        repeat(count) {
+        repeat(count) { number ->
             started += InstanceFixture(
                 routes = testRoutes(),
                 servers = emptyList(),
                 sharedStore = store,
                 seeds = started.take(1).map { it.peer },
+                clock = clock(number),
             ).also { resources += it }
         }
         awaitUntil("the instances know each other") {
@@ -199,6 +203,29 @@
         expectThat(old.requests + new.requests).isEmpty()
     }
 
+    /** Guards against streams that are refused, or joined from two versions, by an instance that stood still. */
+    @Test
+    fun `stream is taken up at its own version by an instance that stood still`() {
+        val old = server { events() }
+        val new = server { if (request.header("after") == null) twoEventsThenSilence() else events() }
+        store.put("servers/old", decode("old", old, version = "1"))
+        val paused = PausableClock()
+        val instances = instances(3) { number -> if (number == 0) paused else MonotonicClock() }
+        paused.pause()
+        Thread.sleep(SUSPECTED_MILLIS)
+        store.put("servers/old", decode("old", old, version = "1", leaving = true))
+        store.put("servers/new", decode("new", new, version = "2"))
+        Thread.sleep(ENTRY_MILLIS)
+        instances[1].beginStream(new)
+        store.put("servers/old", decode("old", old, version = "1"))
+        Thread.sleep(ENTRY_MILLIS)
+        instances[1].crash()
+        paused.resume()
+        val answer = instances[0].takeUp("t1")
+        expectThat(answer?.body).isEqualTo(eventText(3..5))
+        expectThat(old.requests).isEmpty()
+    }
+
     /** Guards against a stream that is given up although an instance that does not answer at the moment may know it. */
     @ParameterizedTest
     @ValueSource(longs = [0, SUSPECTED_MILLIS])
