--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LateRequestTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LateRequestTest.kt
@@ -4,6 +4,7 @@
 package org.arbutusnotch.forwarding
 
 import org.arbutusnotch.core.forwarding.ServerStage
+import org.arbutusnotch.forwarding.exchange.RelayedRequests
 import org.arbutusnotch.forwarding.fixture.InstanceFixture
 import org.arbutusnotch.forwarding.fixture.RawCaller
 import org.arbutusnotch.forwarding.fixture.ReceivedResponse
@@ -23,7 +24,9 @@
 import strikt.assertions.isNotEmpty
 import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
+import java.net.ConnectException
 import java.util.concurrent.CompletableFuture
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 class LateRequestTest {
@@ -37,9 +40,11 @@
         answer()
     }.also { resources += it }
 
-    private fun instance() =
-        InstanceFixture(testRoutes(timeLimit = 30.seconds), listOf(testServer("a", server.address)))
-            .also { resources += it }
+    private fun instance(shutdownTime: Duration = 4.seconds) = InstanceFixture(
+        testRoutes(timeLimit = 30.seconds),
+        listOf(testServer("a", server.address)),
+        shutdownTime = shutdownTime,
+    ).also { resources += it }
 
     private fun sentIds() = server.requests.mapNotNull { it.header("id") }
 
@@ -74,6 +79,26 @@
         expectThat(sentIds()).containsExactly("first")
     }
 
+    /** Guards against a request that is passed on to a server while the process exits, which cuts its answer. */
+    @ParameterizedTest
+    @ValueSource(booleans = [false, true])
+    fun `request that arrives when the shutdown is complete reaches no server`(relayed: Boolean) {
+        val fixture = instance(shutdownTime = LONG_SHUTDOWN)
+        fixture.instance.stop()
+        fixture.instance.awaitEnd()
+        val answer = try {
+            RawCaller(if (relayed) fixture.controlAddress else fixture.front).use {
+                val mark = if (relayed) "${RelayedRequests.HEADER}: ${fixture.peer}\r\n" else ""
+                it.write(fixture.request("/once/x", "late", mark))
+                it.read()
+            }
+        } catch (_: ConnectException) {
+            null
+        }
+        if (answer != null) expectThat(answer.header("X-Outcome")).isEqualTo("not_run")
+        expectThat(sentIds()).isEmpty()
+    }
+
     /** Guards against a closed connection in place of the final answer, for requests whose duration is not known. */
     @Test
     fun `request that still runs at the end of the grace time gets a final answer`() {
@@ -174,6 +199,9 @@
     }
 
     private companion object {
+        /** Grace time in which an instance without callers ends before it closes idle connections. */
+        val LONG_SHUTDOWN = 8.seconds
+
         const val SERVICE_MILLIS = 2_500L
 
         /** Times after the signal; the process has a grace time of four seconds. */
