Keep connections open in a stop until their callers have the whole answer

Callers that read slowly got a part of their answer: six tenths of the grace time after SIGTERM an instance closes idle connections, and a connection counted as idle once its answer was handed to the network layer. The same count decided that the process may end.

Evidence: a caller with a small receive buffer and an answer of 4 MB, which it begins to read after that time; the answer was incomplete before the change and is whole after it.

Change: a connection is busy until the last write of its response is done. The end of the grace time is unchanged.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufAllocator
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -70,8 +71,12 @@
     /** Whether the connection closes after its next response. */
     var closesAfterResponse = false
 
+    /** The write that ends the latest response; null before the first one. */
+    private var lastWrite: ChannelFuture? = null
+
+    /** Whether a request is received or processed, or its caller has not yet taken the whole response. */
     val isBusy: Boolean
-        get() = current != null || receiving != null
+        get() = current != null || receiving != null || lastWrite?.isDone == false
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
@@ -239,7 +244,7 @@
             val lengthHeader = listOf(HeaderField("Content-Length", body.size.toString()))
             val framedHead = head.copy(headers = head.headers + lengthHeader + connectionHeaders(close))
             val bytes = HeadWriter.response(framedHead, allocator)
-            channel.writeAndFlush(bytes.writeBytes(body)).addListener { onWritten() }
+            lastWrite = channel.writeAndFlush(bytes.writeBytes(body)).addListener { onWritten() }
             finish(this, close)
         }
 
@@ -263,7 +268,7 @@
 
         override fun end() {
             if (current !== this) return
-            context?.writeAndFlush(HeadWriter.lastChunk())
+            lastWrite = context?.writeAndFlush(HeadWriter.lastChunk())
             finish(this, closesAtEnd)
         }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
@@ -54,7 +54,7 @@
     val openConnections: Int
         get() = connections.size
 
-    /** Number of connections with a request in progress. */
+    /** Number of connections with a request in progress or a response that its caller has not yet taken. */
     val busyConnections: Int
         get() = connections.count { it.isBusy }
 
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LateRequestTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LateRequestTest.kt
@@ -9,6 +9,7 @@
 import org.arbutusnotch.forwarding.fixture.RawCaller
 import org.arbutusnotch.forwarding.fixture.ReceivedResponse
 import org.arbutusnotch.forwarding.fixture.ScriptedServer
+import org.arbutusnotch.forwarding.fixture.awaitUntil
 import org.arbutusnotch.forwarding.fixture.testRoutes
 import org.arbutusnotch.forwarding.fixture.testServer
 import org.junit.jupiter.api.AfterEach
@@ -99,6 +100,23 @@
         expectThat(sentIds()).isEmpty()
     }
 
+    /** Guards against an answer that is cut because its connection counts as idle while its caller still reads. */
+    @Test
+    fun `answer that its caller reads slowly is complete after a shutdown`() {
+        val long = ScriptedServer { answer(body = "x".repeat(LONG_ANSWER_BYTES)) }.also { resources += it }
+        val fixture = InstanceFixture(servers = listOf(testServer("long", long.address))).also { resources += it }
+        val caller = RawCaller(fixture.front, receiveBytes = SMALL_BUFFER_BYTES).also { resources += it }
+        caller.write(fixture.request("/safe/x", "slow"))
+        awaitUntil("the server has answered") { long.requests.isNotEmpty() }
+        Thread.sleep(READ_MILLIS)
+        fixture.instance.stop()
+        Thread.sleep(IDLE_CLOSED_MILLIS)
+        val answer = caller.read()
+        expectThat(answer?.status).isEqualTo(200)
+        expectThat(answer?.complete).isEqualTo(true)
+        expectThat(answer?.body?.length).isEqualTo(LONG_ANSWER_BYTES)
+    }
+
     /** Guards against a closed connection in place of the final answer, for requests whose duration is not known. */
     @Test
     fun `request that still runs at the end of the grace time gets a final answer`() {
@@ -199,6 +217,13 @@
     }
 
     private companion object {
+        /** Answer that takes more than the buffers of the system hold. */
+        const val LONG_ANSWER_BYTES = 4_000_000
+        const val SMALL_BUFFER_BYTES = 4_096
+
+        /** Time after SIGTERM at which idle connections have been closed, but the instance still runs. */
+        const val IDLE_CLOSED_MILLIS = 2_700L
+
         /** Grace time in which an instance without callers ends before it closes idle connections. */
         val LONG_SHUTDOWN = 8.seconds
 
