--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -476,7 +476,7 @@
         val noConnectionsLeft = now >= shutdown.listsExpireAt && front.openConnections == 0
         val noRequestsLeft = now >= shutdown.idleCloseAt && front.busyConnections == 0
         val mayEnd = (noConnectionsLeft || noRequestsLeft) && context.relays.activeCount == 0
-        if (!mayEnd && now < shutdown.forcedExitAt || ended.count == 0L) return
+        if (ended.count == 0L || (!mayEnd && now < shutdown.forcedExitAt)) return
         log.info("stopped") { field("interrupted_requests", front.busyConnections) }
         // What still arrives before the process has exited is refused: its exit would cut the answer of a server.
         front.closeIdle()
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/stream/OriginResolver.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/stream/OriginResolver.kt
@@ -3,8 +3,8 @@
  * keep it, then the versions that can have begun it at all.
  *
  * What this instance knows of the versions may be older than the stream: it may have been paused or cut off while
- * servers of another version registered. So it concludes from the versions only after the store has told it what changed
- * until the stream was taken up.
+ * servers of another version registered. So it concludes from the versions only after the store has told it what
+ * changed until the stream was taken up.
  */
 package org.arbutusnotch.forwarding.stream
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/stream/StreamOrigins.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/stream/StreamOrigins.kt
@@ -50,8 +50,8 @@
     }
 
     /**
-     * Calls [onFound] with the origin of [stream] as instances keep it. It is unknown if all that may keep it answer that
-     * they do not, and unavailable if some do not answer in time.
+     * Calls [onFound] with the origin of [stream] as instances keep it. It is unknown if all that may keep it answer
+     * that they do not, and unavailable if some do not answer in time.
      */
     fun find(stream: RequestId, onFound: (OriginLookup) -> Unit) {
         table.find(stream, now())?.let { return onFound(OriginLookup.Known(it)) }
