Log what ended a started answer that is not whole

The order of an end by the deadline changes: the line is written before the running attempt is stopped.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -463,7 +463,10 @@
         )
         membership.updateOwnRow(state = InstanceState.DRAINING)
         front.startDraining()
-        context.shutdownNotice.announce(now + settings.shutdownTime - PROCESS_EXIT_TIME - FINAL_ANSWER_TIME)
+        context.shutdownNotice.announce(
+            time = now + settings.shutdownTime - PROCESS_EXIT_TIME - FINAL_ANSWER_TIME,
+            now = now,
+        )
         log.info("stopping") {
             field("busy_connections", front.busyConnections)
             field("connections", front.openConnections)
@@ -477,10 +480,13 @@
         val noRequestsLeft = now >= shutdown.idleCloseAt && front.busyConnections == 0
         val mayEnd = (noConnectionsLeft || noRequestsLeft) && context.relays.activeCount == 0
         if (ended.count == 0L || (!mayEnd && now < shutdown.forcedExitAt)) return
-        log.info("stopped") { field("interrupted_requests", front.busyConnections) }
+        log.info("stopped") {
+            field("interrupted_requests", front.busyConnections)
+            field("unwritten_answers", front.unwrittenAnswers)
+        }
         // What still arrives before the process has exited is refused: its exit would cut the answer of a server.
         front.closeIdle()
-        context.shutdownNotice.announce(now)
+        context.shutdownNotice.announce(time = now, now = now)
         ended.countDown()
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -285,16 +285,9 @@
             val answer = head
             when {
                 end is CallEnd.NotSent -> tryNextPeer(end.detail)
-
                 end == CallEnd.Withheld -> refuse("deadline", MINIMUM_RETRY_DELAY)
-
                 end is CallEnd.Complete && !end.endedByClose && answer != null -> passOn(answer)
-
-                responseStarted -> {
-                    finish("broken", "relay: $end")
-                    responder.abort()
-                }
-
+                responseStarted -> abort(AnswerEnd.SERVER, "relay: $end")
                 else -> fail(LocalResponses.BAD_GATEWAY, "relay: $end")
             }
         }
@@ -367,6 +360,7 @@
 
     override fun onDisconnect() {
         if (finished) return
+        if (responseStarted) logIncompleteAnswer(AnswerEnd.CALLER, "")
         finish("caller_left", "")
         stopAfterDisconnect()
     }
@@ -387,6 +381,34 @@
         responder.send(LocalResponses.refusal(reason, retryAfter), ByteArray(0))
     }
 
+    /** Breaks off the answer, of which a part was sent. */
+    protected fun abort(end: AnswerEnd, reason: String) {
+        if (finished) return
+        logIncompleteAnswer(end, reason)
+        finish("broken", reason)
+        responder.abort()
+    }
+
+    /** Time of the latest progress of the answer; null before the first one. */
+    protected open val latestProgressAt: Timestamp? = null
+
+    /** Servers at which an attempt runs now. */
+    protected open val runningAt: List<BackendServerId> = emptyList()
+
+    private fun logIncompleteAnswer(end: AnswerEnd, reason: String) {
+        val now = context.now()
+        log.info("answer_incomplete") {
+            field("request", request.caller.id)
+            field("ended_by", end.code())
+            field("reason", reason)
+            field("received_millis", (now - receivedAt).inWholeMilliseconds)
+            latestProgressAt?.let { field("progress_millis", (now - it).inWholeMilliseconds) }
+            context.shutdownNotice.beganAt?.let { field("stopping_millis", (now - it).inWholeMilliseconds) }
+            field("running", runningAt.joinToString(","))
+            field("left_millis", (deadlineAt - now).inWholeMilliseconds)
+        }
+    }
+
     /** Answers that it is unknown whether the request ran. */
     protected fun fail(status: Int, reason: String) {
         if (finished) return
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -13,6 +13,7 @@
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.BufferedAnswer
 import org.arbutusnotch.core.forwarding.StreamProgress
+import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.id.SoftwareVersion
 import org.arbutusnotch.core.message.DispatchWork
@@ -117,6 +118,11 @@
         )
     }
 
+    override val latestProgressAt: Timestamp?
+        get() = latestEventAt.takeIf { firstEventAt != null }
+    override val runningAt: List<BackendServerId>
+        get() = listOfNotNull(place?.prefillServer?.id.takeIf { prefill != null }, run?.place?.server?.id)
+
     /** Number of tokens that the request declares; 0 when it declares none. */
     private val outputTokens: Int = (request.work as? DispatchWork.Generation)?.outputTokens ?: 0
 
@@ -279,13 +285,13 @@
 
     override fun onDeadline() {
         if (!responseStarted) return super.onDeadline()
+        abort(AnswerEnd.DEADLINE, "deadline")
         stopAttempt()
-        abortStream("deadline")
     }
 
     override fun onPlaceRefused(reason: String, retryAfter: Duration) {
         when {
-            responseStarted -> abortStream(reason)
+            responseStarted -> abort(AnswerEnd.NO_PLACE, reason)
             isVersionGone() && !mayHaveRun -> refuse(VERSION_GONE, retryAfter = null)
             else -> super.onPlaceRefused(reason, retryAfter)
         }
@@ -297,13 +303,6 @@
         return context.registry.usable(context.now()).none { it.pool == pool && it.version == version }
     }
 
-    /** Aborts a started stream that cannot continue. */
-    private fun abortStream(reason: String) {
-        if (finished) return
-        finish("broken", reason)
-        responder.abort()
-    }
-
     private fun onRunEnd(ended: Run, end: RunEnd) {
         run = null
         when (end) {
@@ -317,7 +316,8 @@
         when {
             !responseStarted -> deliver(end.head, end.body)
 
-            end.head.status !in AnswerValidation.SUCCESS_STATUSES -> abortStream("status ${end.head.status}")
+            end.head.status !in AnswerValidation.SUCCESS_STATUSES ->
+                abort(AnswerEnd.SERVER, "status ${end.head.status}")
 
             else -> {
                 finishAnswered(end.head)
@@ -342,7 +342,11 @@
             else -> {
                 release(ended.place, end.outcome)
                 freeHandle()
-                if (responseStarted) abortStream("servers_full") else refuse("servers_full", MINIMUM_RETRY_DELAY)
+                if (responseStarted) {
+                    abort(AnswerEnd.NO_PLACE, "servers_full")
+                } else {
+                    refuse("servers_full", MINIMUM_RETRY_DELAY)
+                }
             }
         }
     }
@@ -359,7 +363,7 @@
                 requestPlace(countsAsRetry = true)
             }
 
-            responseStarted -> abortStream(end.detail)
+            responseStarted -> abort(end.endedBy, end.detail)
 
             else -> fail(LocalResponses.BAD_GATEWAY, end.detail)
         }
@@ -367,7 +371,7 @@
 
     private inner class Run(val place: GrantedPlace, val part: RunPart) : ServerCallListener {
         private val startedAt: Timestamp = context.now()
-        private val body = newAnswerBody { breakRun(it) }
+        private val body = newAnswerBody { breakRun(it, AnswerEnd.LIMIT) }
         private var call: ServerCall? = null
         private var head: ResponseHead? = null
         private var serverAnswer: ServerAnswer? = null
@@ -415,7 +419,7 @@
             context.dispatch.reportSilentServer(place, PlacePart.RUN)
             if (!mayResume) return
             stop()
-            onRunEnd(this, RunEnd.Broken("server_silent"))
+            onRunEnd(this, RunEnd.Broken("server_silent", endedBy = AnswerEnd.SILENCE))
         }
 
         override fun onHead(head: ResponseHead) {
@@ -443,10 +447,12 @@
             if (relay.eventCount > previousCount) recordEvent()
             if (relay.hasRelayedEvents) requiredVersion = server.version
             if (!context.answerBufferBudget.resize(bufferedEvent, relay.heldBytes)) {
-                return breakRun("no memory for an event")
+                return breakRun("no memory for an event", AnswerEnd.LIMIT)
+            }
+            if (relay.isOutOfSequence) return breakRun("event out of sequence", AnswerEnd.SERVER)
+            if (relay.isTooLarge) {
+                return breakRun("event of more than ${EventRelay.MAXIMUM_EVENT_BYTES} bytes", AnswerEnd.LIMIT)
             }
-            if (relay.isOutOfSequence) return breakRun("event out of sequence")
-            if (relay.isTooLarge) return breakRun("event of more than ${EventRelay.MAXIMUM_EVENT_BYTES} bytes")
             if (!responder.isWritable) pauseReading()
         }
 
@@ -456,13 +462,13 @@
             progress.recordEvent(latestEventAt)
         }
 
-        private val bufferedEvent = BufferedAnswer { breakRun("no memory for an event") }
+        private val bufferedEvent = BufferedAnswer { breakRun("no memory for an event", AnswerEnd.LIMIT) }
 
         /** Cancels the call and ends the run as broken. */
-        private fun breakRun(reason: String) {
+        private fun breakRun(reason: String, endedBy: AnswerEnd) {
             if (isEnded) return
             call?.cancel()
-            end(RunEnd.Broken(reason))
+            end(RunEnd.Broken(reason, endedBy = endedBy))
         }
 
         private fun pauseReading() {
@@ -479,7 +485,10 @@
             cancelProgressCheck = context.schedule(progress.nextCheckAt(context.now())) {
                 when {
                     isEnded -> Unit
-                    progress.isStalled(context.now()) -> breakRun("no event for ${stallTimeout.inWholeMilliseconds} ms")
+
+                    progress.isStalled(context.now()) ->
+                        breakRun("no event for ${stallTimeout.inWholeMilliseconds} ms", AnswerEnd.SILENCE)
+
                     else -> scheduleProgressCheck()
                 }
             }
@@ -591,7 +600,11 @@
         class NotRun(val outcome: PlaceOutcome, override val detail: String, val received: Boolean) : RunEnd()
 
         /** [closedByServer] tells whether the server closed the connection, which may be due to a crash. */
-        class Broken(override val detail: String, val closedByServer: Boolean = false) : RunEnd()
+        class Broken(
+            override val detail: String,
+            val closedByServer: Boolean = false,
+            val endedBy: AnswerEnd = AnswerEnd.SERVER,
+        ) : RunEnd()
     }
 
     private companion object {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ShutdownNotice.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ShutdownNotice.kt
@@ -8,6 +8,10 @@
 /** Announces by when each request must have its final answer. */
 internal class ShutdownNotice {
     private var answerBy: Timestamp? = null
+
+    /** Time at which the shutdown began; null before it. */
+    var beganAt: Timestamp? = null
+        private set
     private val listeners = LinkedHashSet<(Timestamp) -> Unit>()
 
     /** Calls [listener] once the shutdown begins, or at once after that, until the returned function is called. */
@@ -17,8 +21,9 @@
         return { listeners -= listener }
     }
 
-    /** Announces that each request must have its final answer at [time]. */
-    fun announce(time: Timestamp) {
+    /** Announces at [now] that each request must have its final answer at [time]. */
+    fun announce(time: Timestamp, now: Timestamp) {
+        beganAt = beganAt ?: now
         answerBy = time
         listeners.toList().forEach { it(time) }
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
@@ -76,7 +76,11 @@
 
     /** Whether a request is received or processed, or its caller has not yet taken the whole response. */
     val isBusy: Boolean
-        get() = current != null || receiving != null || lastWrite?.isDone == false
+        get() = current != null || receiving != null || hasUnwrittenAnswer
+
+    /** Whether the latest response is complete here but not yet taken by its caller. */
+    val hasUnwrittenAnswer: Boolean
+        get() = lastWrite?.isDone == false
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
@@ -58,6 +58,10 @@
     val busyConnections: Int
         get() = connections.count { it.isBusy }
 
+    /** Number of connections whose caller has not yet taken an answer that is complete here. */
+    val unwrittenAnswers: Int
+        get() = connections.count { it.hasUnwrittenAnswer }
+
     /** Binds the address; throws [java.net.BindException] when it is already in use. */
     fun open() {
         channel = ServerBootstrap()
