Drop the reply to a withdrawn request for a place

A search for the continuation of a stalled stream is withdrawn when the stream goes on. If a server was granted that must not get work, as while servers stop, the place was requested again under another ticket, which the withdrawal did not know. The late reply started a second run beside the first, or a refusal aborted a live stream.

A reply to an earlier request than the latest one now releases the place that it grants and is dropped otherwise. Found by reading; the suite has no test for it, since the dispatcher and the instance have to disagree about a server for one round trip.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -79,6 +79,9 @@
     /** Time by which a server must start the request. */
     protected open val startBy: Timestamp = receivedAt + minOf(deadlineAt - receivedAt, callerTimeout) * WAITING_SHARE
     private var ticket: TicketId? = null
+
+    /** Number of the latest request for a place; a reply to an earlier one comes too late. */
+    private var placeRequestNumber = 0
     private var placeRequested = false
     private var cancelDeadline: () -> Unit = {}
     private var cancelLatestStart: () -> Unit = {}
@@ -185,11 +188,17 @@
             version = requiredVersion,
         )
         placeRequested = true
+        placeRequestNumber += 1
+        val number = placeRequestNumber
         var repliedImmediately = false
         val newTicket = context.dispatch.requestPlace(placeRequest) { reply ->
-            ticket = null
-            repliedImmediately = true
-            onPlaceReply(reply)
+            if (number == placeRequestNumber) {
+                ticket = null
+                repliedImmediately = true
+                onPlaceReply(reply)
+            } else if (reply is PlaceReply.Granted) {
+                releaseUnused(reply.place)
+            }
         }
         if (!repliedImmediately) ticket = newTicket
     }
@@ -198,6 +207,8 @@
     protected fun cancelPlaceRequest() {
         ticket?.let { context.dispatch.cancel(it) }
         ticket = null
+        // A place that turned out to be unusable was requested again under another ticket.
+        placeRequestNumber += 1
     }
 
     /** Refuses the request at once if it waits for a place that it will not be allowed to use. */
