Tell a pause from bytes that never become an event

A stream that sends bytes and no events is ended once every caller has left. The time was counted from the latest event, so that the first read after a long pause ended the stream if it held a part of an event, as after a freeze or with an event of several segments. Events without an id did not count at all.

The time now counts from the first bytes after the latest event, and an event counts with an id or without. Silence ends nothing; bytes without end still do, after the caller's timeout and a second.

--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/StreamProgressTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/StreamProgressTest.kt
@@ -9,6 +9,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -40,4 +41,16 @@
         progress.pause()
         expectThat(progress.nextCheckAt(start + 60.seconds)).isEqualTo(start + 62.seconds)
     }
+
+    /** Guards against counting the first bytes after a pause as bytes that never become an event. */
+    @Test
+    fun `bytes without an event count from the first of them`() {
+        progress.recordEvent(start)
+        expectThat(progress.timeOfBytesWithoutEvent(start + 60.seconds)).isEqualTo(Duration.ZERO)
+        progress.recordBytes(start + 60.seconds)
+        progress.recordBytes(start + 61.seconds)
+        expectThat(progress.timeOfBytesWithoutEvent(start + 62.seconds)).isEqualTo(2.seconds)
+        progress.recordEvent(start + 62.seconds)
+        expectThat(progress.timeOfBytesWithoutEvent(start + 63.seconds)).isEqualTo(Duration.ZERO)
+    }
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/EventRelay.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/EventRelay.kt
@@ -51,8 +51,8 @@
     val heldBytes: Int
         get() = bufferedBytes * HELD_PER_BUFFERED_BYTE
 
-    /** Whether a complete event was relayed, with an id or without. */
-    var hasRelayedEvents: Boolean = false
+    /** Number of complete events that were relayed, with an id or without. */
+    var relayedEventCount: Int = 0
         private set
 
     /** Number of complete events with an id. */
@@ -108,7 +108,7 @@
             isOutOfSequence = true
             return true
         }
-        hasRelayedEvents = hasRelayedEvents || hasFields
+        if (hasFields) relayedEventCount += 1
         pendingEventId?.let {
             lastEventId = it
             eventCount += 1
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -528,15 +528,13 @@
             }
             if (timeToFirstEvent == Duration.ZERO) timeToFirstEvent = context.now() - startedAt
             if (!responseStarted) startResponse(received)
-            val previousCount = relay.eventCount
+            val previousCount = relay.relayedEventCount
             responder.sendContent(relay.accept(content))
-            when {
-                relay.eventCount > previousCount -> recordEvent()
-
-                progress.timeWithoutEvent(context.now()) >= callerTimeout + CALLER_MARGIN ->
-                    return breakRun("bytes without an event", AnswerEnd.SILENCE)
+            if (relay.relayedEventCount > previousCount) recordEvent() else progress.recordBytes(context.now())
+            if (progress.timeOfBytesWithoutEvent(context.now()) >= callerTimeout + CALLER_MARGIN) {
+                return breakRun("bytes without an event", AnswerEnd.SILENCE)
             }
-            if (relay.hasRelayedEvents) requiredVersion = server.version
+            if (relay.relayedEventCount > 0) requiredVersion = server.version
             if (!context.answerBufferBudget.resize(bufferedEvent, relay.heldBytes)) {
                 return breakRun("no memory for an event", AnswerEnd.LIMIT)
             }
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/PausingServerTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/PausingServerTest.kt
@@ -121,6 +121,22 @@
         expectThat(fixture.call("/safe/x", "r1")?.body).isEqualTo("late")
     }
 
+    /** Guards against a stream that is cut at the first bytes after a pause, which hold a part of an event. */
+    @ParameterizedTest
+    @ValueSource(strings = ["stream", "resumable"])
+    fun `stream that goes on with half an event after a pause is complete`(route: String) {
+        val decode = server {
+            streamHead()
+            event(1)
+            Thread.sleep(VERY_LONG_PAUSE.inWholeMilliseconds)
+            chunk("id: 2\n")
+            Thread.sleep(SLOW_HEAD.inWholeMilliseconds)
+            chunk("data: token 2\n\n")
+            endOfStream()
+        }
+        expectEvents(engines(decode).call("/$route/x", "r1", headers = TOKENS), 1..2)
+    }
+
     /** Starts an instance with [first] and has it start a stream there, then adds [second] to its servers. */
     private fun streamOf(
         first: ScriptedServer,
@@ -260,6 +276,9 @@
         /** Pause longer than the two seconds after which callers of the test routes may leave. */
         val LONG_PAUSE = 2_600.milliseconds
 
+        /** Pause after which every caller that follows the event timeout has left. */
+        val VERY_LONG_PAUSE = 3_400.milliseconds
+
         /** Time to the first byte, longer than that after which a server counts as silent. */
         val LATE_START = 900.milliseconds
 
