Keep searching for a stream without an answer, and give its server up for the right answer alone

- Before the first event, only one search for another server was made: the next one was due when no place would be granted any more.
- An answer to another request, or one without a seal, at the second server ended the run at the first one.
- The limit for two runs at once also counted a second run that had already failed or said that it does not run the request.
- A server that rejected the request for the moment, or that was replaced, was excluded for good.
- A handle that belongs to the stalled run could be freed, and a complete answer of it whose end is still checked be replaced.

A failure that the second server answers itself, such as 500, still ends the first run: the request has run there.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -289,6 +289,8 @@
         stalledRun = stalled
         run = null
         place = null
+        // It belongs to the stalled run, which may still fetch it, and expires by itself.
+        unusedHandle = null
         excluded += stalled.place.server.id
         requestPlace(countsAsRetry = true)
         return true
@@ -316,6 +318,7 @@
         replaced.stop()
         replaced.log(PlaceOutcome.BROKEN, "replaced after no event for ${stallTimeout.inWholeMilliseconds} ms")
         release(replaced.place, PlaceOutcome.BROKEN)
+        excluded -= replaced.place.server.id
         relay.continueAtNextServer()
     }
 
@@ -408,7 +411,7 @@
         when {
             stalledRun != null -> {
                 release(ended.place, end.outcome)
-                excluded += ended.place.server.id
+                if (!end.received) excluded += ended.place.server.id
                 keepStalledRun()
             }
 
@@ -491,11 +494,13 @@
                 context.schedule(context.now() + request.route.objective + SILENCE_MARGIN) { onSilence() }
             stalledRun?.let {
                 it.suspendReading()
-                context.schedule(context.now() + MAXIMUM_OVERLAP) { if (run === this) replaceStalledRun() }
+                context.schedule(context.now() + MAXIMUM_OVERLAP) { if (mayStillRun()) replaceStalledRun() }
             }
             return true
         }
 
+        private fun mayStillRun(): Boolean = run === this && !isEnded && serverAnswer?.notRun != true
+
         /** Seeks another server for a resumable generation that has no answer yet. */
         private fun onSilence() {
             if (isEnded || head != null) return
@@ -510,7 +515,9 @@
             serverAnswer = answer
             progress = StreamProgress(stallTimeout, startedAt = context.now())
             if (!answer.notRun) {
-                if (this === stalledRun) keepStalledRun() else replaceStalledRun()
+                if (this === stalledRun) keepStalledRun()
+                // An answer to another request or without a seal says nothing; its end lets the stalled run go on.
+                if (answer.sealed && answer.requestId == request.caller.id) replaceStalledRun()
                 unusedHandle = null
             }
             if (isStream) scheduleSearch(progress.nextCheckAt(context.now()))
@@ -579,7 +586,9 @@
         /** Goes on after no other server was found. */
         fun onKept() {
             call?.setReading(true)
-            if (!isEnded) scheduleSearch(maxOf(progress.nextCheckAt(context.now()), context.now() + SEARCH_INTERVAL))
+            if (isEnded) return
+            val next = context.now() + SEARCH_INTERVAL
+            scheduleSearch(if (head == null) next else maxOf(next, progress.nextCheckAt(context.now())))
         }
 
         private fun scheduleSearch(time: Timestamp) {
@@ -610,6 +619,7 @@
             if (isEnded) return
             endedAt = context.now()
             cancelSearch()
+            if (this === stalledRun && end is CallEnd.Complete && serverAnswer?.notRun != true) keepStalledRun()
             val confirmBy = deadlineAt - CONFIRMATION_MARGIN
             checkUnframedEnd(end, server, startedAt, confirmBy) { crashed ->
                 if (!isEnded) end(if (crashed) RunEnd.Broken("server crashed") else resultOf(end))
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/PausingServerTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/PausingServerTest.kt
@@ -137,6 +137,38 @@
         expectEvents(engines(decode).call("/$route/x", "r1", headers = TOKENS), 1..2)
     }
 
+    /** Guards against a request that waits for a silent server although another one has become free. */
+    @Test
+    fun `stream without an answer goes to a server that becomes free later`() {
+        val silent = server { awaitClose(READ_MILLIS) }
+        val free = server { events(1..2) }
+        val fixture = engines(silent)
+        val answer = fixture.streamAsync("resumable")
+        awaitUntil("the server has the request") { silent.requests.isNotEmpty() }
+        Thread.sleep(FREE_LATER.inWholeMilliseconds)
+        fixture.store.put("servers/e", testServer("e", free.address, ServerStage.DECODE))
+        expectEvents(answer.get(), 1..2)
+    }
+
+    /** Guards against a stream that is lost to an answer which does not belong to it. */
+    @Test
+    fun `stalled stream goes on at its server if another one answers another request`() {
+        val answered = CountDownLatch(1)
+        val first = server {
+            streamHead()
+            event(1)
+            answered.await(READ_MILLIS.toLong(), TimeUnit.MILLISECONDS)
+            Thread.sleep(SLOW_HEAD.inWholeMilliseconds)
+            event(2)
+            endOfStream()
+        }
+        val second = server {
+            answer(id = "other")
+            answered.countDown()
+        }
+        expectEvents(streamOf(first, second).get(), 1..2)
+    }
+
     /** Starts an instance with [first] and has it start a stream there, then adds [second] to its servers. */
     private fun streamOf(
         first: ScriptedServer,
@@ -279,6 +311,9 @@
         /** Pause after which every caller that follows the event timeout has left. */
         val VERY_LONG_PAUSE = 3_400.milliseconds
 
+        /** Time after the arrival at which the first search for another server has failed. */
+        val FREE_LATER = 700.milliseconds
+
         /** Time to the first byte, longer than that after which a server counts as silent. */
         val LATE_START = 900.milliseconds
 
