Charge a retry only if there is time for it

A retry was taken from the budget before the dispatcher refused it for want of time, and nothing gave it back. Searches for the continuation of stalled streams are refused like that at times, so that a stream whose server had really died could be refused for a spent budget.

The time is checked first. A first attempt still counts where it did. CallDispatchTest has a retry that is refused as overloaded: it took one of two retries before, none now.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -254,17 +254,14 @@
 
     private fun refusalReason(request: DispatchRequest, entry: WaitingRequest, now: Timestamp): DispatchRefusal? {
         val ahead = waitingAhead(entry)
-        val noServerReason = noServerReason(entry, ahead, now)
-        return when {
-            noServerReason != null -> noServerReason
-
+        noServerReason(entry, ahead, now)?.let { return it }
+        val refusal = when {
+            missesDeadline(entry, ahead, now) -> DispatchRefusal.OVERLOADED
             request.repeats > 0 && !budget.tryAcquire(now, request.repeats) -> DispatchRefusal.RETRY_BUDGET
-
-            else -> {
-                if (!request.askedBefore) budget.recordFirstAttempt(now)
-                DispatchRefusal.OVERLOADED.takeIf { missesDeadline(entry, ahead, now) }
-            }
+            else -> null
         }
+        if (refusal != DispatchRefusal.RETRY_BUDGET && !request.askedBefore) budget.recordFirstAttempt(now)
+        return refusal
     }
 
     /** Returns the number of waiting requests ahead of [entry]; a stream that has begun goes before new ones. */
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
@@ -23,6 +23,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotEqualTo
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -261,6 +262,15 @@
         expectThat(decisions.refused().map { it.reason }.toSet()).isEqualTo(setOf(DispatchRefusal.RETRY_BUDGET))
     }
 
+    /** Guards against a budget that is spent on retries which are refused, such as those of stalled streams. */
+    @Test
+    fun `retry that is refused for want of time is not charged`() {
+        val fixture = DispatchFixture(listOf(server("a", slots = 50)), budget = RetryBudget(10, 2))
+        val refused = fixture.submit(fixture.request(DispatchWork.Call, wait = Duration.ZERO, retry = true)).refused()
+        expectThat(refused.map { it.reason }).isEqualTo(listOf(DispatchRefusal.OVERLOADED))
+        expectThat(fixture.dispatcher.availableRetries(fixture.now)).isEqualTo(2)
+    }
+
     /**
      * Guards against more retries than the cluster-wide limit, which is twice the budget of one dispatcher, when
      * instances stop or are skipped and several dispatchers take over one after another.
