--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -316,7 +316,7 @@
         val replaced = stalledRun ?: return
         stalledRun = null
         replaced.stop()
-        replaced.log(PlaceOutcome.BROKEN, "replaced after no event for ${stallTimeout.inWholeMilliseconds} ms")
+        replaced.log(PlaceOutcome.BROKEN, "stalled, replaced by another server")
         release(replaced.place, PlaceOutcome.BROKEN)
         excluded -= replaced.place.server.id
         relay.continueAtNextServer()
