Read and answer what came while a stopping instance had no processor time

Cause: the event loop had stood still. It then accepted the connections that waited, at most 16 at a time, and the next tick closed idle ones and the listener, before anything was read from them: a new connection counted as idle until its first request was read.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -205,6 +205,9 @@
     private val ended = CountDownLatch(1)
     private var activeShutdown: Shutdown? = null
     private var lastTick = clock.now()
+
+    /** Time until which a shutdown closes nothing, since requests lie unread after a late tick. */
+    private var shutdownPausedUntil = Timestamp(0)
     private var nextHousekeeping = Timestamp(0)
     private var nextSeedRefresh = Timestamp(0)
     private var nextPeerFetch = Timestamp(0)
@@ -347,6 +350,7 @@
             if (missedServerChanges.isOverdue(serverFollower.position, now)) serverFollower.checkForChanges()
             beginServing()
             housekeeping(now)
+            if (gap > LATE_SHUTDOWN_THRESHOLD) shutdownPausedUntil = now + CATCH_UP_TIME
             advanceShutdown(now)
         } catch (failure: RuntimeException) {
             log.error("tick_failed", failure)
@@ -475,6 +479,7 @@
 
     private fun advanceShutdown(now: Timestamp) {
         val shutdown = activeShutdown ?: return
+        if (now < shutdownPausedUntil && now < shutdown.forcedExitAt) return
         if (now >= shutdown.idleCloseAt) front.closeIdle()
         val noConnectionsLeft = now >= shutdown.listsExpireAt && front.openConnections == 0
         val noRequestsLeft = now >= shutdown.idleCloseAt && front.busyConnections == 0
@@ -505,6 +510,10 @@
 
         /** Gap between two ticks that is logged as a pause of the process or a lack of CPU time. */
         val LATE_TICK_THRESHOLD = 400.milliseconds
+
+        /** Gap between two ticks in which requests may have arrived that are not read yet, and time to read them. */
+        val LATE_SHUTDOWN_THRESHOLD = 75.milliseconds
+        val CATCH_UP_TIME = 200.milliseconds
         val HOUSEKEEPING_INTERVAL = 200.milliseconds
         val SEED_REFRESH_INTERVAL = 1.seconds
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
@@ -24,6 +24,7 @@
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.nio.charset.StandardCharsets
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Sends the response to one request, on the event loop; calls after the caller disconnected have no effect. */
@@ -65,6 +66,9 @@
     private var rejected = false
     private var idleSince: Timestamp = clock.now()
 
+    /** Time until which a new connection counts as busy, since its first request may lie unread; null once it was read. */
+    private var firstReadBy: Timestamp? = clock.now() + FIRST_READ_TIME
+
     /** Deadline for a request head whose first bytes have arrived; null between requests. */
     private var headDeadline: Timestamp? = null
 
@@ -74,9 +78,12 @@
     /** The write that ends the latest response; null before the first one. */
     private var lastWrite: ChannelFuture? = null
 
-    /** Whether a request is received or processed, or its caller has not yet taken the whole response. */
+    /** Whether a request is received, processed or not yet read, or its caller has not yet taken the whole response. */
     val isBusy: Boolean
-        get() = current != null || receiving != null || hasUnwrittenAnswer
+        get() = current != null || receiving != null || hasUnwrittenAnswer || isUnread
+
+    private val isUnread: Boolean
+        get() = firstReadBy.let { it != null && clock.now() < it }
 
     /** Whether the latest response is complete here but not yet taken by its caller. */
     val hasUnwrittenAnswer: Boolean
@@ -88,6 +95,7 @@
 
     /** Starts the head deadline: the decoder emits nothing until a head is complete. */
     fun onBytesReceived() {
+        firstReadBy = null
         if (headDeadline == null && current == null && receiving == null) {
             headDeadline = clock.now() + limits.headTimeout
         }
@@ -293,6 +301,9 @@
         /** Assumed size of a deferred head, whose encoded size is no longer known. */
         const val DEFERRED_HEAD_BYTES = 512
 
+        /** Time in which what a caller sent with its new connection is read, also while there is little processor time. */
+        val FIRST_READ_TIME = 300.milliseconds
+
         /** Time for a body to arrive after its head; the configured limits include none. */
         val BODY_TIMEOUT = 10.seconds
     }
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LateRequestTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LateRequestTest.kt
@@ -6,6 +6,7 @@
 import org.arbutusnotch.core.forwarding.ServerStage
 import org.arbutusnotch.forwarding.exchange.RelayedRequests
 import org.arbutusnotch.forwarding.fixture.InstanceFixture
+import org.arbutusnotch.forwarding.fixture.PausableClock
 import org.arbutusnotch.forwarding.fixture.RawCaller
 import org.arbutusnotch.forwarding.fixture.ReceivedResponse
 import org.arbutusnotch.forwarding.fixture.ScriptedServer
@@ -100,6 +101,29 @@
         expectThat(sentIds()).isEmpty()
     }
 
+    /** Guards against connections that are closed with an unread request after an instance had no processor time. */
+    @Test
+    fun `request that arrives while the instance stands still gets an answer`() {
+        val clock = PausableClock()
+        val fixture = InstanceFixture(
+            testRoutes(timeLimit = 30.seconds),
+            listOf(testServer("a", server.address), testServer("d", engine.address, ServerStage.DECODE)),
+            clock = clock,
+        ).also { resources += it }
+        val running = connect(fixture).callAsync(fixture, "running")
+        awaitUntil("the server has the request") { server.requests.isNotEmpty() }
+        fixture.instance.stop()
+        Thread.sleep(BEFORE_IDLE_CLOSE_MILLIS)
+        clock.pause()
+        val late = (1..CALLERS).map {
+            connect(fixture).apply { write(fixture.request("/stream/x", "late-$it", "tokens: 10,$LONG_STREAM\r\n")) }
+        }
+        Thread.sleep(STANDSTILL_MILLIS)
+        clock.resume()
+        expectThat(late.map { it.read()?.status }).all { isEqualTo(503) }
+        expectThat(running.get()?.status).isEqualTo(200)
+    }
+
     /** Guards against an answer that is cut because its connection counts as idle while its caller still reads. */
     @Test
     fun `answer that its caller reads slowly is complete after a shutdown`() {
@@ -221,6 +245,10 @@
         const val LONG_ANSWER_BYTES = 4_000_000
         const val SMALL_BUFFER_BYTES = 4_096
 
+        /** Time after SIGTERM shortly before idle connections are closed, and pause that lasts beyond it. */
+        const val BEFORE_IDLE_CLOSE_MILLIS = 2_000L
+        const val STANDSTILL_MILLIS = 500L
+
         /** Time after SIGTERM at which idle connections have been closed, but the instance still runs. */
         const val IDLE_CLOSED_MILLIS = 2_700L
 
