Pass on changes of the store that an instance has merely heard of

Cause: only an instance that has a change named it, to one peer of its failure domain every 250 ms, and each peer then waits 400 ms before it asks the store and can name the change itself.

Change: gossip carries the latest change that peers have named and that the sender lacks in a field of its own, heardServerChange, from the first hearing until the sender asks the store. The first hearing goes at once to six random peers, two of them in other failure domains. Each of those does the same, so that all have heard of it within moments; regular gossip reaches the few that are missed. Hearsay is kept in MissedChanges only and never changes the position of an instance. Earlier versions skip the field.

A query is recorded only while a call waits; before, one that could not be made was forgotten.

The number of peers does not depend on the size of the fleet.

MalformedMessageTest also sends extreme positions; PreviousVersionTest covers the new field.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
@@ -217,6 +217,20 @@
         return selected.map { it.row.instance.address } + listOfNotNull(randomUnreachableAddress(random))
     }
 
+    /**
+     * Returns the recipients of a message that is to reach all instances within moments if each recipient sends it on:
+     * random reachable peers, [RELAY_TARGETS] in number, [OTHER_DOMAIN_RELAY_TARGETS] of them in other failure domains.
+     * Peers of the other kind replace those that a small fleet lacks.
+     */
+    public fun relayTargets(random: Random): List<InstanceAddress> {
+        val (sameDomain, otherDomains) = peers.values.filter { it.reachable }
+            .shuffled(random)
+            .partition { it.row.failureDomain == ownRow.failureDomain }
+        val first = otherDomains.take(OTHER_DOMAIN_RELAY_TARGETS)
+        val ordered = first + sameDomain + otherDomains.drop(first.size)
+        return ordered.take(RELAY_TARGETS).map { it.row.instance.address }
+    }
+
     private fun randomUnreachableAddress(random: Random): InstanceAddress? {
         val reachable = peers.values.filter { it.reachable }.map { it.row.instance.address }.toSet()
         return ((published.keys + seeds + peers.keys) - reachable - self.address).randomOrNull(random)
@@ -311,6 +325,15 @@
         /** Number of reachable peers that receive each gossip message. */
         public const val GOSSIP_TARGETS: Int = 2
 
+        /**
+         * Number of peers to which a message is passed on at once. With six, the first passing on misses about 1 in 400
+         * instances (e^-6), whatever the size of the fleet; regular gossip reaches those.
+         */
+        public const val RELAY_TARGETS: Int = 6
+
+        /** Number of those peers in other failure domains. */
+        private const val OTHER_DOMAIN_RELAY_TARGETS = 2
+
         /** Time between two ticks above which this process counts as paused. */
         private val TICK_GAP_LIMIT = 500.milliseconds
     }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/PeerMessage.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/PeerMessage.kt
@@ -126,6 +126,8 @@
  * @property highestFence highest fencing number of an order that the sender knows of; 0 when there is none
  * @property latestServerChange latest change of the published servers that the sender knows; null when it knows none,
  * and from instances of earlier versions
+ * @property heardServerChange latest change of the published servers that peers have named to the sender and that it
+ * does not have; null when there is none, and from instances of earlier versions
  */
 @Serializable
 @SerialName("gossip")
@@ -137,6 +139,7 @@
     public val quarantined: List<QuarantineEntry> = emptyList(),
     public val highestFence: Long = 0,
     public val latestServerChange: StorePosition? = null,
+    public val heardServerChange: StorePosition? = null,
 ) : PeerMessage
 
 /** Acknowledges a message that has no other reply. */
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/MissedChangesSimulationTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/MissedChangesSimulationTest.kt
@@ -111,11 +111,11 @@
         instances.filter { (elapsed + it.phase) % TICK_MILLIS == 0 }.forEach { it.tick() }
     }
 
-    private fun send(target: InstanceAddress, change: StorePosition) {
+    private fun send(target: InstanceAddress, changes: List<StorePosition>) {
         if (random.nextDouble() < LOSS) return
         val receiver = instances.single { it.table.self.address == target }
         val arrival = now + random.nextInt(1, MAXIMUM_LATENCY_MILLIS + 1).milliseconds
-        deliveries.getOrPut(arrival) { mutableListOf() } += { receiver.onPeerKnows(change) }
+        deliveries.getOrPut(arrival) { mutableListOf() } += { receiver.onPeerKnows(changes) }
     }
 
     private inner class SimulatedInstance(private val number: Int) {
@@ -148,13 +148,18 @@
             nextGossipAt = now + GOSSIP_MILLIS.milliseconds
             gossipCount += 1
             table.gossipTargets(random, sameDomainCount = 1, otherDomainCount = 1 - gossipCount % 2)
-                .forEach { send(it, namedChange()) }
+                .forEach { send(it, namedChanges()) }
         }
 
-        private fun namedChange() = wrongChange?.takeIf { number == 0 }?.invoke(gossipCount) ?: position
+        private fun namedChanges(): List<StorePosition> {
+            val wrong = wrongChange?.takeIf { number == 0 }?.invoke(gossipCount)
+            return listOfNotNull(wrong ?: position, missed.heard(position, now))
+        }
 
-        fun onPeerKnows(change: StorePosition) {
-            missed.onPeerKnows(change, position, now)
+        fun onPeerKnows(changes: List<StorePosition>) {
+            if (changes.count { missed.onPeerKnows(it, position, now) } == 0) return
+            val heard = listOfNotNull(missed.heard(position, now))
+            table.relayTargets(random).forEach { send(it, heard) }
         }
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -22,6 +22,7 @@
 import org.arbutusnotch.core.forwarding.RouteTable
 import org.arbutusnotch.core.forwarding.ServerRegistry
 import org.arbutusnotch.core.forwarding.StartupRoutes
+import org.arbutusnotch.core.forwarding.StorePosition
 import org.arbutusnotch.core.forwarding.WatchTime
 import org.arbutusnotch.core.id.ContentDigest
 import org.arbutusnotch.core.id.Incarnation
@@ -120,14 +121,20 @@
         probe = { server, onResult -> probe(server, onResult) },
         hasEnded = { server -> registry.hasEnded(server, clock.now()) },
     )
-    private val membership: Membership =
-        Membership(ownRow(), link, random, crashReporter) { serverFollower.latestChange }
+    private val missedServerChanges = MissedChanges()
+    private val membership: Membership = Membership(
+        own = ownRow(),
+        link = link,
+        random = random,
+        crashReporter = crashReporter,
+        latestServerChange = { serverFollower.latestChange },
+        heardServerChange = { missedServerChanges.heard(serverFollower.position, clock.now()) },
+    )
     private val registry = ServerRegistry(settings.drainTime * REMOVED_SERVER_GRACE_SHARE, OUTAGE_GRACE)
     private val answerBufferBudget = AnswerBufferBudget(ANSWER_BUFFER_BYTES)
     private val publishedState = PublishedState(protocols.items, clock, registry) { onRouteTable(it) }
     private val routeFollower = follower(protocols.items.routePrefix, publishedState.routeListener)
     private val serverFollower: StoreFollower = follower(protocols.items.serverPrefix, publishedState.serverListener)
-    private val missedServerChanges = MissedChanges()
     private val followers =
         mapOf(protocols.items.routePrefix to routeFollower, protocols.items.serverPrefix to serverFollower)
     private val dispatchService = DispatchService(
@@ -312,7 +319,7 @@
         when (message) {
             is Gossip -> {
                 membership.onGossip(message, now)
-                message.latestServerChange?.let { missedServerChanges.onPeerKnows(it, serverFollower.position, now) }
+                onServerChanges(listOfNotNull(message.latestServerChange, message.heardServerChange), now)
             }
 
             is DispatchRequest -> dispatchService.onRequest(message, now)
@@ -334,6 +341,18 @@
         }
     }
 
+    /** Handles [changes] of the published servers that a peer names. */
+    private fun onServerChanges(changes: List<StorePosition>, now: Timestamp) {
+        val isFirst = changes.count { missedServerChanges.onPeerKnows(it, serverFollower.position, now) } > 0
+        if (isFirst) membership.relayServerChange()
+    }
+
+    /** Asks the store for changes that peers have named. A call that does not wait ends soon, so the next one asks. */
+    private fun checkForMissedChanges(now: Timestamp) {
+        if (!serverFollower.isWatching) return
+        if (missedServerChanges.isOverdue(serverFollower.position, now)) serverFollower.checkForChanges()
+    }
+
     @Suppress("TooGenericExceptionCaught") // A scheduled task that throws is not scheduled again.
     private fun tick() {
         val now = clock.now()
@@ -347,7 +366,7 @@
             dispatchService.tick(now)
             dispatchClient.tick(now)
             streamOrigins.tick(now)
-            if (missedServerChanges.isOverdue(serverFollower.position, now)) serverFollower.checkForChanges()
+            checkForMissedChanges(now)
             beginServing()
             housekeeping(now)
             if (gap > LATE_SHUTDOWN_THRESHOLD) shutdownPausedUntil = now + CATCH_UP_TIME
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
@@ -26,6 +26,7 @@
  * Maintains the view of all instances; gossip also carries the quarantine reports of [crashReporter].
  *
  * @param latestServerChange returns the latest change of the published servers that this instance knows
+ * @param heardServerChange returns the latest change of them that peers have named and that this instance does not have
  */
 internal class Membership(
     own: InstanceRow,
@@ -33,6 +34,7 @@
     private val random: Random,
     private val crashReporter: CrashReporter,
     private val latestServerChange: () -> StorePosition?,
+    private val heardServerChange: () -> StorePosition?,
 ) {
     private val log = EventLog("membership")
     private val table = InstanceTable(own, reclaimsAddress = true)
@@ -113,6 +115,7 @@
             quarantined = crashReporter.reportsToGossip(),
             highestFence = fencingNumbers.highest,
             latestServerChange = latestServerChange(),
+            heardServerChange = heardServerChange(),
         )
         gossipCount += 1
         val otherDomainCount = if (fast || gossipCount % GOSSIPS_PER_CROSS_DOMAIN == 0L) 1 else 0
@@ -120,6 +123,12 @@
             .forEach { link.send(it, gossip) }
     }
 
+    /** Names the change that peers have named to this instance to further peers, without waiting for regular gossip. */
+    fun relayServerChange() {
+        val gossip = Gossip(self, rows = emptyList(), heardServerChange = heardServerChange())
+        table.relayTargets(random).forEach { link.send(it, gossip) }
+    }
+
     private fun handleEvents(events: List<MembershipEvent>) {
         events.forEach { event ->
             log.info("instance_view_changed") {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -72,8 +72,9 @@
     private var fruitlessCalls = 0
     private var current: BufferedCall? = null
 
-    /** Whether [current] waits for changes. */
-    private var isWatching = false
+    /** Whether the latest call waits for changes. */
+    var isWatching = false
+        private set
     private var failingSince: Timestamp? = null
 
     /** Time by which the next step follows; null before the start. */
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/membership/MalformedMessageTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/membership/MalformedMessageTest.kt
@@ -3,6 +3,7 @@
  */
 package org.arbutusnotch.forwarding.membership
 
+import org.arbutusnotch.core.forwarding.StorePosition
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.FailureDomainId
 import org.arbutusnotch.core.id.Incarnation
@@ -61,7 +62,13 @@
 
         2 -> ServerNotice.Pause(pools.random(random), BackendServerId("none"), unknownInstance, edgeLong())
 
-        else -> Gossip(unknownInstance, rows = emptyList(), highestFence = edgeLong())
+        else -> Gossip(
+            sender = unknownInstance,
+            rows = emptyList(),
+            highestFence = edgeLong(),
+            latestServerChange = StorePosition(edgeLong(), edgeLong()),
+            heardServerChange = StorePosition(edgeLong(), edgeLong()),
+        )
     }
 
     /** Guards against a message that terminates the process or its periodic tick. */
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/LostAnswerTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/LostAnswerTest.kt
@@ -15,7 +15,6 @@
 import org.arbutusnotch.forwarding.fixture.testRoutes
 import org.arbutusnotch.forwarding.fixture.testServer
 import org.junit.jupiter.api.AfterEach
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
@@ -85,7 +84,6 @@
 
     /** Guards against instances that do not learn from their peers that they have missed a change. */
     @Test
-    @Tag("known-red")
     fun `instances of a fleet learn from a peer that the answer about a leaving server was lost`() {
         val instances = instances(count = FLEET)
         awaitUntil("all instances know each other") { instances.all { it.knowsFleet() } }
--- a/arbutusnotch-peer/src/test/kotlin/org/arbutusnotch/peer/PreviousVersionTest.kt
+++ b/arbutusnotch-peer/src/test/kotlin/org/arbutusnotch/peer/PreviousVersionTest.kt
@@ -64,7 +64,14 @@
     @Test
     fun `gossip of this version is read by the earlier version`() {
         val change = StorePosition(era = 1, revision = 9)
-        val gossip = Gossip(sender, listOf(row), highestFence = 7, latestServerChange = change)
+        val gossip = Gossip(
+            sender = sender,
+            rows = listOf(row),
+            highestFence = 7,
+            latestServerChange = change,
+            heardServerChange = change,
+        )
+        expectThat(PeerMessageCodec.decode(PeerMessageCodec.encode(gossip)).get()).isEqualTo(gossip)
         expectThat(peerCbor.decodeFromByteArray<PreviousMessage>(PeerMessageCodec.encode(gossip)))
             .isEqualTo(PreviousGossip(sender, listOf(row), highestFence = 7))
     }
