Refuse late streams in a stop while another instance serves them

Once address lists have expired, the duration of a stream counts as unknown while another instance serves, so that it is refused at once and its caller turns there. Without another instance it is accepted as before if it is expected to end in time.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -55,6 +55,7 @@
 import org.arbutusnotch.forwarding.exchange.ForwardingMetrics
 import org.arbutusnotch.forwarding.exchange.FrontHandler
 import org.arbutusnotch.forwarding.exchange.RelayedRequests
+import org.arbutusnotch.forwarding.exchange.ShutdownNotice
 import org.arbutusnotch.forwarding.http.BufferedCall
 import org.arbutusnotch.forwarding.http.CallEnd
 import org.arbutusnotch.forwarding.http.HeaderField
@@ -194,6 +195,7 @@
         random = random,
         metrics = metrics,
         answerBufferBudget = answerBufferBudget,
+        shutdownNotice = ShutdownNotice { membership.serving().any { it.address != self.address } },
         relays = RelayedRequests { peer -> membership.serving().find { it.address == peer }?.row?.operatorAddress },
     )
     private val frontHandler = FrontHandler(context, ::routesInUse)
@@ -489,6 +491,7 @@
         context.shutdownNotice.announce(
             time = now + settings.shutdownTime - PROCESS_EXIT_TIME - FINAL_ANSWER_TIME,
             now = now,
+            listsExpireAt = now + ADDRESS_LIST_LIFETIME,
         )
         log.info("stopping") {
             field("busy_connections", front.busyConnections)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -140,8 +140,15 @@
     /** Number of tokens that the request declares; 0 when it declares none. */
     private val outputTokens: Int = (request.work as? DispatchWork.Generation)?.outputTokens ?: 0
 
-    override fun expectedDuration(): Duration? =
+    /**
+     * Returns null also late in a shutdown while another instance serves: a stream that pauses, or is longer than its
+     * caller estimates, would be cut here.
+     */
+    override fun expectedDuration(): Duration? = if (context.shutdownNotice.isReplaced(context.now())) {
+        null
+    } else {
         context.generationDurations.expected(pool, outputTokens, request.route.objective)
+    }
 
     /** The rest of a stream that was taken up says little about whole ones. */
     override fun recordDuration(elapsed: Duration) {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ShutdownNotice.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ShutdownNotice.kt
@@ -5,13 +5,19 @@
 
 import org.arbutusnotch.core.time.Timestamp
 
-/** Announces by when each request must have its final answer. */
-internal class ShutdownNotice {
+/**
+ * Announces by when each request must have its final answer.
+ *
+ * @param hasServingPeer returns whether another instance serves callers
+ */
+internal class ShutdownNotice(private val hasServingPeer: () -> Boolean = { false }) {
     private var answerBy: Timestamp? = null
 
     /** Time at which the shutdown began; null before it. */
     var beganAt: Timestamp? = null
         private set
+
+    private var listsExpireAt: Timestamp? = null
     private val listeners = LinkedHashSet<(Timestamp) -> Unit>()
 
     /** Calls [listener] once the shutdown begins, or at once after that, until the returned function is called. */
@@ -21,9 +27,13 @@
         return { listeners -= listener }
     }
 
-    /** Announces at [now] that each request must have its final answer at [time]. */
-    fun announce(time: Timestamp, now: Timestamp) {
+    /** Whether callers no longer learn of this instance, and another one serves those that still come. */
+    fun isReplaced(now: Timestamp): Boolean = listsExpireAt.let { it != null && now >= it } && hasServingPeer()
+
+    /** Announces at [now] that each request must have its final answer at [time], and when address lists expire. */
+    fun announce(time: Timestamp, now: Timestamp, listsExpireAt: Timestamp = now) {
         beganAt = beganAt ?: now
+        this.listsExpireAt = this.listsExpireAt ?: listsExpireAt
         answerBy = time
         listeners.toList().forEach { it(time) }
     }
