--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/Route.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/Route.kt
@@ -7,6 +7,7 @@
 
 import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.id.RevisionNumber
+import org.arbutusnotch.core.workspace.Workspace
 import kotlin.random.Random
 import kotlin.time.Duration
 
@@ -48,6 +49,7 @@
  * @property objective latency objective for the answer or the first event of a stream
  * @property maximumServers maximum number of backend servers that may run one request
  * @property priority priority of the route; 0 is the most urgent
+ * @property requiresKey whether a caller must send the key of a workspace if the deployment has workspaces
  */
 public data class Route(
     public val name: String,
@@ -59,6 +61,7 @@
     public val objective: Duration,
     public val maximumServers: Int,
     public val priority: Int,
+    public val requiresKey: Boolean = true,
 ) {
     /** Selects the pool of one request in proportion to the weights. */
     public fun selectPool(random: Random): PoolId? {
@@ -103,12 +106,17 @@
     public val idleTimeout: Duration,
 )
 
-/** Holds one revision of the published routes. */
+/**
+ * Holds one revision of the published routes.
+ *
+ * @property workspaces workspaces of the deployment; null when requests need no key
+ */
 public class RouteTable(
     public val revision: RevisionNumber,
     public val routes: List<Route>,
     public val pools: Map<PoolId, PoolDefinition>,
     public val limits: CallerLimits,
+    public val workspaces: List<Workspace>? = null,
 ) {
     private val byHost =
         routes.groupBy { it.host }.mapValues { (_, hostRoutes) -> hostRoutes.sortedByDescending { it.prefix.length } }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -19,6 +19,7 @@
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.quarantine.Suspects
 import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.core.workspace.Workspace
 import org.arbutusnotch.forwarding.CallerRequest
 import org.arbutusnotch.forwarding.ServerAnswer
 import org.arbutusnotch.forwarding.dispatch.GrantedPlace
@@ -45,6 +46,7 @@
  *
  * @property suspects what the request has in common with others that may crash servers
  * @property relayed whether another instance, which reaches no server, has passed the request on
+ * @property workspace workspace of the caller's key; null if the request needs none
  */
 internal class RoutedRequest(
     val message: HttpRequestMessage,
@@ -54,6 +56,7 @@
     val pool: PoolId,
     val work: DispatchWork,
     val relayed: Boolean = false,
+    val workspace: Workspace? = null,
 )
 
 internal abstract class Exchange(
