Keep running instances of large fleets from being suspected

Cause: a new configuration raises the version of every instance's row, and heartbeats of another version than that of the known row were ignored. Full rows travel three to a message, so in a fleet of 104 they took about 9 s to spread, against a suspicion time of 4.9 s. Nearly all instances then suspected one another, and several dispatched for one pool.

Change: a heartbeat counts whatever version of the row is known, and carries state and active revision. Any message from an instance shows that it runs. A silent instance is asked three times before it is suspected; others are told of it and ask it themselves. Rows of unknown instances are asked for, a changed state goes to all peers at once. A dispatcher that answered within 300 ms is not skipped.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
@@ -2,7 +2,9 @@
  * The local view of all instances, built from gossip and from the platform's published list.
  *
  * A row is replaced by one with a higher incarnation, or by one with a higher heartbeat or version of the same
- * incarnation. An instance whose heartbeat does not rise before its suspicion deadline counts as unreachable. The
+ * incarnation. An instance whose heartbeat does not rise before its suspicion deadline, and which does not answer
+ * questions where such are asked, counts as unreachable. That an instance runs and what its row contains are separate
+ * facts: a rising heartbeat counts whatever version of the row is known, because new rows take longer to spread. The
  * published list lags behind, so it is used only for addresses to contact and to learn which instances are leaving.
  */
 package org.arbutusnotch.core.membership
@@ -56,6 +58,8 @@
  * @param reclaimsAddress whether this process adopts a higher incarnation when its address is known under a later one.
  * The wall clock may step back between two starts, which gives the running process a lower incarnation than its
  * predecessor. Must be false for a process that issues permits under its incarnation
+ * @param questionsBeforeSuspicion number of unanswered questions, returned by [peersToAsk], without which a silent
+ * instance is not suspected; 0 if no questions are asked
  */
 public class InstanceTable(
     own: InstanceRow,
@@ -63,6 +67,7 @@
     private val suspicion: Duration = SUSPICION,
     private val removal: Duration = REMOVAL,
     private val reclaimsAddress: Boolean = false,
+    private val questionsBeforeSuspicion: Int = 0,
 ) {
     private val peers = LinkedHashMap<InstanceAddress, KnownInstance>()
 
@@ -78,6 +83,10 @@
     public var ownRow: InstanceRow = own
         private set
 
+    /** Number of changes of the view so far, other than risen heartbeats. */
+    public var changeCount: Long = 0
+        private set
+
     /** Address and incarnation of this process. */
     public val self: InstanceId
         get() = ownRow.instance
@@ -101,6 +110,7 @@
         val changed = ownRow.copy(state = state, active = active, candidate = candidate, conflicted = conflicted)
         if (changed == ownRow) return
         ownRow = changed.copy(heartbeat = ownRow.heartbeat + 1, version = ownRow.version + 1)
+        changeCount += 1
     }
 
     /** Merges every row of [rows] that is newer than the known one, and returns the changes of the view. */
@@ -108,20 +118,87 @@
         rows.flatMap { if (it.instance.address == self.address) mergeOwn(it) else merge(it, now) }
 
     /**
-     * Merges every heartbeat of [heartbeats] that is higher than the known one, and returns the changes of the view.
-     * A heartbeat of another incarnation or version than the known row is ignored.
+     * Merges every heartbeat of [heartbeats] that is higher than the known one or belongs to a later version of the
+     * known row, and returns the changes of the view. A heartbeat of another incarnation than the known row is ignored.
      */
     public fun mergeHeartbeats(heartbeats: List<HeartbeatRow>, now: Timestamp): List<MembershipEvent> =
         heartbeats.flatMap { heartbeat ->
-            val known = peers[heartbeat.address]?.row
-            val matches = known != null && known.instance.incarnation == heartbeat.incarnation &&
-                known.version == heartbeat.version
-            if (matches) merge(known.copy(heartbeat = heartbeat.heartbeat), now) else emptyList()
+            val known = peers[heartbeat.address]?.takeIf { it.row.instance.incarnation == heartbeat.incarnation }
+            if (known == null) emptyList() else merge(heartbeat, known, now)
+        }
+
+    private fun merge(heartbeat: HeartbeatRow, known: KnownInstance, now: Timestamp): List<MembershipEvent> {
+        val state = heartbeat.state
+        if (heartbeat.version > known.statedVersion && state != null) {
+            known.row = known.row.copy(state = state, active = heartbeat.active)
+            known.statedVersion = heartbeat.version
+            changeCount += 1
+        }
+        if (heartbeat.heartbeat <= known.row.heartbeat) return emptyList()
+        known.row = known.row.copy(heartbeat = heartbeat.heartbeat)
+        return recordLife(known, now, isHearsay = questionsBeforeSuspicion > 0)
+    }
+
+    /** Returns those of [heartbeats] whose instances or incarnations are not known, so that their rows are needed. */
+    public fun unknownAmong(heartbeats: List<HeartbeatRow>): List<InstanceAddress> = heartbeats.filter {
+        val known = peers[it.address]?.row?.instance
+        it.address != self.address && (known == null || known.incarnation < it.incarnation)
+    }.map { it.address }
+
+    /** Returns the rows of those of [addresses] that are reachable, for an instance that asks for them. */
+    public fun rowsOf(addresses: List<InstanceAddress>): List<InstanceRow> =
+        addresses.mapNotNull { address -> peers[address]?.takeIf { it.reachable }?.row }
+
+    /** Records that a message from [address] arrived, which shows that its instance runs. */
+    public fun recordMessage(address: InstanceAddress, now: Timestamp): List<MembershipEvent> =
+        peers[address]?.let { recordLife(it, now, isHearsay = false) }.orEmpty()
+
+    /**
+     * Records a sign of life of [known]. Once an instance was asked whether it runs, a sign that [isHearsay] no longer
+     * counts: heartbeats from before its end may still spread, and others may reach it although this process does not.
+     */
+    private fun recordLife(known: KnownInstance, now: Timestamp, isHearsay: Boolean): List<MembershipEvent> {
+        known.removeAt = now + removal
+        if (isHearsay && !known.reachable) known.isHeardOf = true
+        if (isHearsay && (known.questions > 0 || !known.reachable)) return emptyList()
+        known.suspectAt = suspectAt(now)
+        known.questions = 0
+        if (known.reachable) return emptyList()
+        known.reachable = true
+        changeCount += 1
+        return listOf(MembershipEvent.BecameReachable(known.row.instance))
+    }
+
+    /** Brings forward the questions to the instance at [address], which somebody has found silent. */
+    public fun verify(address: InstanceAddress, now: Timestamp) {
+        val known = peers[address]?.takeIf { it.reachable } ?: return
+        known.suspectAt = minOf(known.suspectAt, now + QUESTION_LEAD)
+    }
+
+    /**
+     * Returns the instances that must be asked now whether they run, at most [limit]: silent ones that are about to be
+     * suspected, and suspected ones of which others have heard again. Each counts as asked. A silent instance that is
+     * not among them because of the limit is not suspected yet.
+     */
+    public fun peersToAsk(now: Timestamp, limit: Int): List<InstanceAddress> {
+        val due = peers.values.filter { now >= it.nextQuestionAt && mustBeAsked(it, now) }
+            .sortedBy { it.suspectAt }
+            .take(limit)
+        due.forEach {
+            it.questions += 1
+            it.isHeardOf = false
+            it.nextQuestionAt = now + QUESTION_INTERVAL
         }
+        return due.map { it.row.instance.address }
+    }
+
+    private fun mustBeAsked(known: KnownInstance, now: Timestamp) =
+        if (known.reachable) known.suspectAt - QUESTION_LEAD <= now else known.isHeardOf
 
     /** Replaces the local copy of the platform's published list. */
     public fun mergePublished(list: List<PublishedInstance>) {
         published = list.associateBy { it.address }
+        changeCount += 1
     }
 
     /** Marks the instance at [address] unreachable until its heartbeat rises, after a connection to it failed. */
@@ -133,10 +210,14 @@
         extendSuspicionAfterPause(now)
         val removed = peers.values.filter { it.removeAt <= now }
         removed.forEach { peers.remove(it.row.instance.address) }
-        val silent = peers.values.filter { it.reachable && it.suspectAt <= now }
+        if (removed.isNotEmpty()) changeCount += 1
+        val silent = peers.values.filter { it.reachable && it.suspectAt <= now && isUnanswered(it, now) }
         return removed.map { MembershipEvent.Removed(it.row.instance) } + silent.map { setUnreachable(it) }
     }
 
+    private fun isUnanswered(known: KnownInstance, now: Timestamp) =
+        known.questions >= questionsBeforeSuspicion && now >= known.nextQuestionAt
+
     /** Returns the view of this process first, then that of every other known instance. */
     public fun views(): List<InstanceView> =
         listOf(view(ownRow, true)) + peers.values.map { view(it.row, it.reachable) }
@@ -161,6 +242,9 @@
     public fun find(address: InstanceAddress): InstanceView? =
         if (address == self.address) view(ownRow, true) else peers[address]?.let { view(it.row, it.reachable) }
 
+    /** Returns all rows of reachable instances, the row of this process first. */
+    public fun allRows(): List<InstanceRow> = listOf(ownRow) + peers.values.filter { it.reachable }.map { it.row }
+
     /** Returns whether a later incarnation than [instance] was seen at its address, which means that it has ended. */
     public fun isReplaced(instance: InstanceId): Boolean =
         find(instance.address)?.let { it.instance.incarnation > instance.incarnation } ?: false
@@ -190,7 +274,14 @@
         heartbeatRound += 1
         due.forEach { it.lastHeartbeatRound = heartbeatRound }
         return due.map {
-            HeartbeatRow(it.row.instance.address, it.row.instance.incarnation, it.row.version, it.row.heartbeat)
+            HeartbeatRow(
+                address = it.row.instance.address,
+                incarnation = it.row.instance.incarnation,
+                version = it.statedVersion,
+                heartbeat = it.row.heartbeat,
+                state = it.row.state,
+                active = it.row.active,
+            )
         }
     }
 
@@ -253,11 +344,19 @@
     private fun merge(received: InstanceRow, now: Timestamp): List<MembershipEvent> {
         val known = peers[received.instance.address]
         if (known != null && !isNewer(received, known.row)) return emptyList()
-        val row = if (known == null) received else combine(received, known.row)
+        val row = if (known == null) received else combine(received, known)
         val previous = known?.row?.instance
         val wasReachable = known?.reachable == true && previous == row.instance
+        val sameIncarnation = known != null && previous == row.instance
+        if (!wasReachable || row.copy(heartbeat = known.row.heartbeat) != known.row) changeCount += 1
+        if (sameIncarnation && questionsBeforeSuspicion > 0) {
+            known.row = row
+            known.statedVersion = maxOf(row.version, known.statedVersion)
+            return recordLife(known, now, isHearsay = true)
+        }
         peers[row.instance.address] = KnownInstance(
             row = row,
+            statedVersion = if (sameIncarnation) maxOf(row.version, known.statedVersion) else row.version,
             suspectAt = suspectAt(now),
             removeAt = now + removal,
             lastRowRound = known?.lastRowRound ?: 0L,
@@ -271,6 +370,7 @@
 
     private fun setUnreachable(known: KnownInstance): MembershipEvent {
         known.reachable = false
+        changeCount += 1
         return MembershipEvent.BecameUnreachable(known.row.instance)
     }
 
@@ -295,11 +395,17 @@
         return row.heartbeat > known.heartbeat || row.version > known.version
     }
 
-    /** Returns [row] if its incarnation differs, otherwise the later version of both with the higher heartbeat. */
-    private fun combine(row: InstanceRow, known: InstanceRow): InstanceRow = when {
-        row.instance.incarnation != known.instance.incarnation -> row
-        row.version >= known.version -> row.copy(heartbeat = maxOf(row.heartbeat, known.heartbeat))
-        else -> known.copy(heartbeat = maxOf(row.heartbeat, known.heartbeat))
+    /**
+     * Returns [row] if its incarnation differs, otherwise the later version of both with the higher heartbeat. The
+     * state and the active revision of a later version may be known from a heartbeat alone.
+     */
+    private fun combine(row: InstanceRow, known: KnownInstance): InstanceRow {
+        val previous = known.row
+        if (row.instance.incarnation != previous.instance.incarnation) return row
+        val latest = if (row.version >= previous.version) row else previous
+        val heartbeat = maxOf(row.heartbeat, previous.heartbeat)
+        if (row.version >= known.statedVersion) return latest.copy(heartbeat = heartbeat)
+        return latest.copy(state = previous.state, active = previous.active, heartbeat = heartbeat)
     }
 
     private fun view(row: InstanceRow, reachable: Boolean): InstanceView =
@@ -336,16 +442,35 @@
 
         /** Time between two ticks above which this process counts as paused. */
         private val TICK_GAP_LIMIT = 500.milliseconds
+
+        /** Time before its suspicion deadline from which a silent instance is asked whether it runs. */
+        private val QUESTION_LEAD = 500.milliseconds
+
+        /** Time between two questions to an instance: several round trips. */
+        private val QUESTION_INTERVAL = 200.milliseconds
     }
 }
 
-/** Holds the latest row of a peer together with its deadlines and the gossip rounds in which it was last sent. */
+/**
+ * Holds the latest row of a peer together with its deadlines and the gossip rounds in which it was last sent.
+ *
+ * @property statedVersion version of the row to which its state and active revision belong; the other properties may be
+ * those of an earlier version
+ */
 private class KnownInstance(
-    val row: InstanceRow,
+    var row: InstanceRow,
+    var statedVersion: Long,
     var suspectAt: Timestamp,
-    val removeAt: Timestamp,
+    var removeAt: Timestamp,
     var lastRowRound: Long,
     var lastHeartbeatRound: Long,
 ) {
     var reachable = true
+
+    /** Questions that the instance has not answered since it last showed that it runs. */
+    var questions = 0
+
+    /** Whether others have heard of the instance since it was suspected. */
+    var isHeardOf = false
+    var nextQuestionAt = Timestamp(0)
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/PeerMessage.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/PeerMessage.kt
@@ -49,6 +49,7 @@
  * @property active the revision that is active on the instance
  * @property candidate the revision that the instance has read but not activated yet
  * @property conflicted the highest revision for which the instance has seen two different contents
+ * @property capacity processor capacity of the instance in cores; 0 when unknown
  */
 @Serializable
 public data class InstanceRow(
@@ -62,11 +63,16 @@
     @SerialName("r") public val active: RevisionMark? = null,
     @SerialName("c") public val candidate: RevisionMark? = null,
     @SerialName("x") public val conflicted: RevisionNumber? = null,
+    @SerialName("w") public val capacity: Double = 0.0,
 )
 
 /**
- * Forwards the heartbeat of an instance whose row the receiver is expected to have. A receiver that has another
- * incarnation or version of the row ignores the heartbeat and waits for the full row.
+ * Forwards the heartbeat of an instance whose row the receiver is expected to have. It shows that the instance runs,
+ * whatever version of the row the receiver has. Its state and active revision are those of [version], so that a change
+ * of them spreads as fast as heartbeats; a receiver that has another incarnation ignores the heartbeat.
+ *
+ * @property state state of the instance; null from instances of earlier versions
+ * @property active the revision that is active on the instance
  */
 @Serializable
 public data class HeartbeatRow(
@@ -74,6 +80,8 @@
     @SerialName("n") public val incarnation: Incarnation,
     @SerialName("v") public val version: Long,
     @SerialName("h") public val heartbeat: Long,
+    @SerialName("s") public val state: InstanceState? = null,
+    @SerialName("r") public val active: RevisionMark? = null,
 )
 
 /**
@@ -128,6 +136,9 @@
  * and from instances of earlier versions
  * @property heardServerChange latest change of the published servers that peers have named to the sender and that it
  * does not have; null when there is none, and from instances of earlier versions
+ * @property question what the sender asks the receiver to answer; null for nothing
+ * @property wantedRows instances whose rows the sender asks for, since it has heard of them only by their heartbeats
+ * @property suspected instances that have recently not answered the sender; a receiver asks them itself
  */
 @Serializable
 @SerialName("gossip")
@@ -140,8 +151,21 @@
     public val highestFence: Long = 0,
     public val latestServerChange: StorePosition? = null,
     public val heardServerChange: StorePosition? = null,
+    public val question: GossipQuestion? = null,
+    public val wantedRows: List<InstanceAddress> = emptyList(),
+    public val suspected: List<InstanceId> = emptyList(),
 ) : PeerMessage
 
+/** Names what the sender of a [Gossip] message asks its receiver to answer. */
+@Serializable
+public enum class GossipQuestion {
+    /** Whether the receiver runs: it answers with its own row. */
+    RUNNING,
+
+    /** Which instances the receiver reaches: it answers with all their rows. */
+    ALL_ROWS,
+}
+
 /** Acknowledges a message that has no other reply. */
 @Serializable
 @SerialName("ack")
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/workspace/Workspace.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/workspace/Workspace.kt
@@ -18,7 +18,7 @@
  * Describes a workspace.
  *
  * @property keys SHA-256 digests of the keys of its callers
- * @property priority priority of its requests, which takes precedence over that of the route; null for that of the route
+ * @property priority priority of its requests, which takes precedence over that of the route; null for the latter
  * @property quota limit of its requests; null for no limit
  * @property countsTokens whether the quota counts tokens; if not, each request counts as one unit
  * @property plainRequestTokens tokens of a request that declares none
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -125,7 +125,7 @@
     private val missedServerChanges = MissedChanges()
     private val membership: Membership = Membership(
         own = ownRow(),
-        link = link,
+        send = { target, message -> link.send(target, message) },
         random = random,
         crashReporter = crashReporter,
         latestServerChange = { serverFollower.latestChange },
@@ -155,9 +155,10 @@
         self = self,
         domain = settings.failureDomain,
         registry = registry,
-        candidates = { membership.serving().map { it.instance } },
+        candidates = { membership.dispatchCandidates() },
         recentlyLost = { membership.recentlyLost(clock.now()).map { it.instance } },
         send = { target, message -> deliver(target, message) },
+        onSilent = { membership.verify(it, clock.now()) },
         now = { clock.now() },
     )
     private val tenure = DispatcherTenure({ dispatchClient.isDispatcher(it) }, { membership.counts().hasMajority })
@@ -275,6 +276,7 @@
         failureDomain = settings.failureDomain,
         state = InstanceState.STARTING,
         heartbeat = 0,
+        capacity = settings.processorCapacity,
     )
 
     private fun follower(prefix: String, listener: StoreListener) = StoreFollower(
@@ -318,6 +320,7 @@
 
     private fun onMessage(message: PeerMessage, sender: InstanceAddress) {
         val now = clock.now()
+        membership.onMessageFrom(sender, now)
         when (message) {
             is Gossip -> {
                 membership.onGossip(message, now)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingSettings.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingSettings.kt
@@ -22,6 +22,7 @@
  * @property shutdownTime time between the stop signal and the forced exit
  * @property retryRatio retries per request, for all instances together
  * @property fixedRetries retries per budget window, independent of the number of requests, for all instances together
+ * @property processorCapacity processor time of the instance in cores; 0 when unknown
  */
 public data class ForwardingSettings(
     public val peerAddress: InstanceAddress,
@@ -37,4 +38,5 @@
     public val shutdownTime: Duration,
     public val retryRatio: Double,
     public val fixedRetries: Int,
+    public val processorCapacity: Double = 0.0,
 )
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -105,6 +105,7 @@
  * @param candidates returns the instances that may dispatch, including this one while it serves
  * @param recentlyLost returns the instances that became unreachable recently and may still dispatch for others
  * @param send delivers a message to the instance at an address, which may be this one
+ * @param onSilent is called with the address of a dispatcher that does not answer
  */
 internal class DispatchClient(
     private val self: InstanceId,
@@ -113,12 +114,16 @@
     private val candidates: () -> List<InstanceId>,
     private val recentlyLost: () -> List<InstanceId>,
     private val send: (InstanceAddress, PeerMessage) -> Unit,
+    private val onSilent: (InstanceAddress) -> Unit = {},
     private val now: () -> Timestamp,
 ) {
     private val log = EventLog("dispatch")
     private val pending = LinkedHashMap<TicketId, PendingRequest>()
     private val held = LinkedHashMap<TicketId, HeldTicket>()
     private val backoffUntil = HashMap<InstanceAddress, Timestamp>()
+
+    /** Time of the latest reply of each dispatcher. */
+    private val lastReplyAt = HashMap<InstanceAddress, Timestamp>()
     private var ticketCount = 0L
     private var nextReportAt = Timestamp(0)
 
@@ -187,6 +192,7 @@
 
     fun onReply(reply: DispatchReply, sender: InstanceAddress) {
         backoffUntil.remove(sender)
+        lastReplyAt[sender] = now()
         val submitted = pending[reply.ticket]
         when (reply) {
             is DispatchReply.Queued -> submitted?.onQueued(now())
@@ -310,18 +316,26 @@
     private fun resend(ticket: TicketId, submitted: PendingRequest, now: Timestamp) {
         // An earlier request of the same tick may have been answered synchronously and ended this one.
         if (pending[ticket] !== submitted) return
-        if (submitted.unansweredSends >= MAXIMUM_UNANSWERED_SENDS && submitted.dispatcher != self.address) {
+        if (submitted.unansweredSends >= MAXIMUM_UNANSWERED_SENDS && isSilent(submitted.dispatcher, now)) {
             log.info("dispatcher_silent") {
                 field("dispatcher", submitted.dispatcher)
                 field("ticket", ticket)
             }
             backoffUntil[submitted.dispatcher] = now + DISPATCHER_BACKOFF
+            onSilent(submitted.dispatcher)
             submitted.unansweredSends = 0
         }
         submitted.dispatcher = dispatcherOf(submitted.request.pool)
         send(ticket, submitted)
     }
 
+    /**
+     * Whether the instance at [dispatcher] has answered nothing for a while. One that answers other requests is busy or
+     * lost a message; a second dispatcher beside it would grant the same places.
+     */
+    private fun isSilent(dispatcher: InstanceAddress, now: Timestamp): Boolean =
+        dispatcher != self.address && now >= (lastReplyAt[dispatcher] ?: Timestamp(0)) + DISPATCHER_SILENCE
+
     private fun send(ticket: TicketId, submitted: PendingRequest) {
         val now = now()
         val request = submitted.request
@@ -406,6 +420,9 @@
         /** Consecutive unanswered sends after which a dispatcher is skipped. */
         const val MAXIMUM_UNANSWERED_SENDS = 3
 
+        /** Time since its latest reply after which a dispatcher that does not answer a request counts as silent. */
+        val DISPATCHER_SILENCE = 300.milliseconds
+
         /** Time for which an unresponsive dispatcher is skipped; the membership view detects its failure by then. */
         val DISPATCHER_BACKOFF = 2.seconds
 
