Place few runs on an engine that rejects all of them

Change: the time without runs doubles with each rejection up to 2.4 s, and after it one run is placed at a time until it shows whether it is accepted.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -278,7 +278,7 @@
 
     private fun hasRoom(tracked: TrackedServer, work: DispatchWork.Generation, now: Timestamp): Boolean {
         val used = tracked.usedTokens
-        return now >= maxOf(tracked.fullUntil, tracked.stageSwitchUntil) && tracked.limit.admits(now) &&
+        return now >= tracked.stageSwitchUntil && tracked.rejections.admits(now) && tracked.limit.admits(now) &&
             tracked.places.size < engine.slots &&
             (used == 0 || used + reservedTokens(work) <= engine.memoryTokens * USABLE_MEMORY_SHARE)
     }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -145,7 +145,7 @@
         val place = if (release.outcome == PlaceOutcome.SILENT) tracked.places[key] else tracked.places.remove(key)
         recordHealth(tracked, release, place, now)
         if (release.outcome in ANSWERED_OUTCOMES) tracked.lastAnswerAt = now
-        if (release.outcome == PlaceOutcome.NOT_RUN) tracked.fullUntil = now + REJECTION_PAUSE
+        recordRejections(tracked, release, place, now)
         // An accepted prefill is not counted separately from its run; a rejected one counts as an additional attempt.
         if (release.part == PlacePart.PREFILL && release.outcome == PlaceOutcome.NOT_RUN) budget.recordRetry(now)
         tracked.recordSlowdown(release.slowdownPercent, now)
@@ -155,6 +155,15 @@
         return dispatchWaiting(now)
     }
 
+    private fun recordRejections(tracked: TrackedServer, release: DispatchRelease, place: UsedPlace?, now: Timestamp) {
+        if (release.outcome == PlaceOutcome.NOT_RUN) {
+            tracked.fullUntil = now + REJECTION_PAUSE
+            tracked.rejections.recordRejection(now)
+        } else if (release.outcome == PlaceOutcome.COMPLETED && place != null) {
+            tracked.rejections.recordCompletion(place.grantedAt)
+        }
+    }
+
     private fun recordHealth(tracked: TrackedServer, release: DispatchRelease, place: UsedPlace?, now: Timestamp) {
         val request = recentGrants[release.ticket]?.request
         val holder = (request?.holder ?: place?.holder)?.address
@@ -383,6 +392,7 @@
 
     private fun occupy(place: PlannedPlace, entry: WaitingRequest, part: PlacePart, now: Timestamp) {
         place.tracked.limit.recordRequest(now)
+        place.tracked.rejections.recordPlacement(now)
         place.tracked.places[PlaceKey(entry.ticket, part)] = UsedPlace(
             holder = entry.holder,
             tokens = place.tokens,
@@ -427,7 +437,7 @@
         /** Time beyond the switch for the server to finish its work and for its new entry to reach all instances. */
         val STAGE_CHANGE_MARGIN = 4.seconds
 
-        /** Time without new runs for a server that rejected one: it has less capacity than this dispatcher assumes. */
+        /** Time without calls for a server that rejected one: it has less capacity than this dispatcher assumes. */
         val REJECTION_PAUSE = 300.milliseconds
 
         /** Time for which an instance counts as a holder; most instances request a place more often. */
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
@@ -71,7 +71,10 @@
     /** Time until which the server is expected to switch its stage; it gets no work until its entry shows that. */
     var stageSwitchUntil: Timestamp = Timestamp(0)
 
-    /** Time until which the server gets no new runs, because it rejected one. */
+    /** Rejections of runs and prompts by an engine. */
+    val rejections = RejectionBackoff()
+
+    /** Time until which a server of plain calls gets no new ones, because it rejected one. */
     var fullUntil: Timestamp = Timestamp(0)
 
     private val pausedUntil = HashMap<InstanceAddress, Timestamp>()
