Answer changes of the store in quick succession together

Change: after more than three answers with changes in two seconds the next call waits 400 ms. Single changes are not delayed.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoopGroup
 import org.arbutusnotch.core.forwarding.AnswerBufferBudget
 import org.arbutusnotch.core.forwarding.StorePosition
+import org.arbutusnotch.core.forwarding.WatchSpacing
 import org.arbutusnotch.core.forwarding.WatchTime
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.forwarding.http.BufferedCall
@@ -62,6 +63,7 @@
 ) {
     private val log = EventLog("store")
     private val items = FollowedItems()
+    private val spacing = WatchSpacing()
     private var listing = mutableListOf<StoreItem>()
     private var listingPosition: StorePosition? = null
 
@@ -195,10 +197,15 @@
         // Revisions of a later era do not continue those of the position that was watched.
         if (era != from.era || items.needsListing) return resumeLater()
         changes.changes.forEach { if (items.apply(it)) listener.onChanged(it) }
+        val pause = if (changes.changes.isEmpty()) Duration.ZERO else spacing.recordAnswer(clock.now())
         val advanced = items.advanceTo(StorePosition(era, changes.storeRevision))
         val isFruitful = advanced || clock.now() >= begunAt + MINIMUM_WATCH_DURATION
         if (isFruitful) fruitlessCalls = 0
-        if (isFruitful || checksEra) proceed() else resumeLater()
+        when {
+            !isFruitful && !checksEra -> resumeLater()
+            pause > Duration.ZERO -> resumeAfter(pause)
+            else -> proceed()
+        }
     }
 
     private fun call(
@@ -300,11 +307,15 @@
         fruitlessCalls += 1
         val backoff = minOf(INITIAL_BACKOFF * (1 shl minOf(fruitlessCalls - 1, MAXIMUM_DOUBLINGS)), MAXIMUM_BACKOFF)
         val jitteredDelay = backoff.inWholeMilliseconds / 2 + random.nextLong(backoff.inWholeMilliseconds / 2 + 1)
+        resumeAfter(jitteredDelay.milliseconds)
+    }
+
+    private fun resumeAfter(delay: Duration) {
         step += 1
         val ownStep = step
         val resume = { if (ownStep == step) proceed() }
-        expectedBy = clock.now() + jitteredDelay.milliseconds + STOPPED_MARGIN
-        group.schedule(resume, jitteredDelay, TimeUnit.MILLISECONDS)
+        expectedBy = clock.now() + delay + STOPPED_MARGIN
+        group.schedule(resume, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     private fun recordSuccess() {
