Limit what an instance grants in place of the dispatcher of a pool

An instance that decides for others because they got no reply from the dispatcher does not know the places that the other holders use. It now grants at most the part of the pool's places that corresponds to the instances for which it decides. Once the dispatcher has become unreachable in its own view, it is the successor, learns all places from reports and grants as before.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -49,6 +49,9 @@
     /** Fraction of the request limits of servers that this dispatcher may grant. */
     private var requestShare = 1.0
 
+    /** Fraction of the places of the pool that this dispatcher may have granted at a time. */
+    private var placeShare = 1.0
+
     /** Time of the latest report of places in use from any holder. */
     private var lastReportAt = Timestamp(0)
 
@@ -93,6 +96,14 @@
         trackedServers.values.forEach { it.limit.useShare(share, now) }
     }
 
+    /**
+     * Limits this dispatcher to [share] of the places of the pool. One that decides for a few instances in place of the
+     * dispatcher does not know the places that the others use, and servers reject what it grants beyond their capacity.
+     */
+    public fun limitPlaces(share: Double) {
+        placeShare = share
+    }
+
     /** Replaces the servers that may get new work; [engine] is null for a pool of plain calls. */
     public fun configure(servers: List<BackendServer>, engine: EngineProfile?) {
         selection =
@@ -371,7 +382,13 @@
      */
     private fun place(entry: WaitingRequest, reservations: Reservations, now: Timestamp): PlacedRequest? {
         val mustWait = entry.work is DispatchWork.Generation && now < placesKnownAt
-        return if (mustWait) null else selection.place(entry, reservations, now)
+        return if (mustWait || usesPlaceShare()) null else selection.place(entry, reservations, now)
+    }
+
+    private fun usesPlaceShare(): Boolean {
+        if (placeShare >= 1.0) return false
+        val places = selection.snapshot.runServers.sumOf { it.server.slots }
+        return trackedServers.values.sumOf { it.runs } >= maxOf(1, (places * placeShare).toInt())
     }
 
     private fun grant(entry: WaitingRequest, places: PlacedRequest, now: Timestamp): DispatchDecision {
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
@@ -61,6 +61,9 @@
     val usedTokens: Int
         get() = places.entries.sumOf { if (it.key.part == PlacePart.RUN) it.value.tokens else 0 }
 
+    val runs: Int
+        get() = places.keys.count { it.part == PlacePart.RUN }
+
     val queuedPromptTokens: Int
         get() = places.entries.sumOf { if (it.key.part == PlacePart.PREFILL) it.value.tokens else 0 }
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/LimitShare.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/LimitShare.kt
@@ -49,6 +49,16 @@
         DispatchRole.Substitute -> shareOfHolders(counts, holders())
     }
 
+    /**
+     * Returns the fraction, from 0 to 1, of the places of a pool that this instance may have granted at a time. One that
+     * decides in place of the dispatcher does not know the places of the other holders, which [holders] does not count.
+     * A dispatcher and its successor learn all places from the reports of the holders.
+     */
+    public fun ofPlaces(counts: InstanceCounts, role: DispatchRole, holders: () -> Int): Double = when (role) {
+        DispatchRole.Dispatcher, DispatchRole.Successor -> 1.0
+        DispatchRole.Substitute -> shareOfHolders(counts, holders())
+    }
+
     private fun shareOfHolders(counts: InstanceCounts, holders: Int): Double =
         (holders.toDouble() / counts.known).coerceIn(1.0 / counts.known, 1.0)
 }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
@@ -70,6 +70,21 @@
             .isEqualTo(listOf(begun.ticket))
     }
 
+    /** Guards against two dispatchers that both fill the servers: half of all runs were rejected after their prefill. */
+    @Test
+    fun `dispatcher that decides for a tenth of the instances grants a tenth of the places`() {
+        val fixture = DispatchFixture(
+            listOf(server("p", ServerStage.PREFILL, 16)) + (1..5).map { server("d$it", ServerStage.DECODE, slots = 8) },
+            EngineProfile(slots = 8, memoryTokens = 28_000),
+        )
+        fixture.dispatcher.limitPlaces(0.1)
+        val granted = (1..10).flatMap {
+            fixture.generate().granted().onEach { place -> fixture.release(place, PlacePart.PREFILL) }
+        }
+        expectThat(granted).hasSize(4)
+        expectThat(fixture.release(granted.first(), elapsed = 1.seconds).granted()).hasSize(1)
+    }
+
     /** Guards against rejected prefills that do not use up the retry budget although servers received them. */
     @Test
     fun `rejected prefill counts as a retry`() {
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/LimitShareTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/LimitShareTest.kt
@@ -51,4 +51,12 @@
         val counts = InstanceCounts(known = 3, reachable = 3)
         expectThat(LimitShare.of(counts, DispatchRole.Substitute) { 4 }).isEqualTo(1.0)
     }
+
+    /** Guards against an instance that fills the servers although it does not know the places of the other holders. */
+    @Test
+    fun `substitute grants places in proportion to its holders, and a successor all`() {
+        val counts = InstanceCounts(known = 100, reachable = 100)
+        expectThat(LimitShare.ofPlaces(counts, DispatchRole.Substitute) { 5 }).isEqualTo(0.05)
+        expectThat(LimitShare.ofPlaces(counts, DispatchRole.Successor) { 5 }).isEqualTo(1.0)
+    }
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -147,6 +147,9 @@
         requestShare = { pool, dispatcher ->
             LimitShare.of(membership.counts(), dispatchClient.roleIn(pool)) { dispatcher.holderCount }
         },
+        placeShare = { pool, dispatcher ->
+            LimitShare.ofPlaces(membership.counts(), dispatchClient.roleIn(pool)) { dispatcher.holderCount }
+        },
         mayOrderStageChange = { pool, now -> tenure.mayOrder(pool, now) },
         orderStageChange = { change, onNotSent -> orderStage(change, onNotSent) },
         reply = { target, reply -> deliver(target, reply) },
