--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/Route.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/Route.kt
@@ -8,6 +8,7 @@
 import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.id.RevisionNumber
 import org.arbutusnotch.core.workspace.Workspace
+import org.arbutusnotch.core.workspace.WorkspaceAccess
 import kotlin.random.Random
 import kotlin.time.Duration
 
@@ -118,6 +119,9 @@
     public val limits: CallerLimits,
     public val workspaces: List<Workspace>? = null,
 ) {
+    /** Decides on the keys of requests; null when requests need no key. */
+    public val access: WorkspaceAccess? = workspaces?.let { WorkspaceAccess(it) }
+
     private val byHost =
         routes.groupBy { it.host }.mapValues { (_, hostRoutes) -> hostRoutes.sortedByDescending { it.prefix.length } }
 
