Check the keys of workspaces and reject removed keys in time

Configurations may contain workspaces with keys. Requests of routes that are not public then need one; servers receive the name of the workspace in X-Tenant and never the key. An unreadable workspace refuses the configuration as a whole, and the log names it without a key. The priority of a workspace takes precedence over that of the route.

With bounds.revokeStrict and bounds.revokeMs, known keys are accepted only while the configuration was confirmed recently: by the store, or by one of two instances in each failure domain, which ask it every second. Unknown keys get 401 only within a second of a confirmation and 503 otherwise. Pauses of the process void confirmations. StoreFollower reports which call showed that the items were current, and can be asked to find out.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -29,6 +29,7 @@
 import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.membership.LimitShare
+import org.arbutusnotch.core.message.ConfigurationConfirmation
 import org.arbutusnotch.core.message.DispatchRelease
 import org.arbutusnotch.core.message.DispatchReply
 import org.arbutusnotch.core.message.DispatchRequest
@@ -78,6 +79,7 @@
 import org.arbutusnotch.forwarding.registry.StoreSnapshot
 import org.arbutusnotch.forwarding.stream.OriginResolver
 import org.arbutusnotch.forwarding.stream.StreamOrigins
+import org.arbutusnotch.forwarding.workspace.ConfirmedConfiguration
 import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.telemetry.EventLog
 import org.arbutusnotch.telemetry.MonotonicClock
@@ -100,12 +102,14 @@
  * Runs one instance.
  *
  * @param clock clock of the instance; it must not jump while the process runs
+ * @param wallClock clock that counts pauses of the machine, during which [clock] may stand still; it may jump
  * @param readSeeds rereads the seeds, which may change while the process runs; null keeps the previous ones
  */
 public class ForwardingInstance(
     private val settings: ForwardingSettings,
     private val protocols: Protocols,
     private val clock: Clock = MonotonicClock(),
+    private val wallClock: Clock = Clock { Timestamp(System.currentTimeMillis()) },
     private val readSeeds: () -> List<InstanceAddress>?,
 ) : AutoCloseable {
     private val log = EventLog("instance")
@@ -134,7 +138,23 @@
     private val registry = ServerRegistry(settings.drainTime * REMOVED_SERVER_GRACE_SHARE, OUTAGE_GRACE)
     private val answerBufferBudget = AnswerBufferBudget(ANSWER_BUFFER_BYTES)
     private val publishedState = PublishedState(protocols.items, clock, registry) { onRouteTable(it) }
-    private val routeFollower = follower(protocols.items.routePrefix, publishedState.routeListener)
+    private val configuration: ConfirmedConfiguration = ConfirmedConfiguration(
+        self = self.address,
+        clock = clock,
+        wallClock = wallClock,
+        revocationTime = settings.revocationTime,
+        routes = { publishedState.routes },
+        serving = { membership.serving() },
+        peers = { membership.reachablePeers() },
+        send = { target, message -> link.send(target, message) },
+        queryStore = { notBefore -> routeFollower.confirm(notBefore) },
+    )
+    private val routeFollower: StoreFollower = follower(
+        prefix = protocols.items.routePrefix,
+        listener = publishedState.routeListener,
+        watchTime = { configuration.watchTime ?: usualWatchTime() },
+        onCurrent = { sentAt, validAt -> configuration.onStoreAnswer(sentAt, validAt) },
+    )
     private val serverFollower: StoreFollower = follower(protocols.items.serverPrefix, publishedState.serverListener)
     private val followers =
         mapOf(protocols.items.routePrefix to routeFollower, protocols.items.serverPrefix to serverFollower)
@@ -199,7 +219,7 @@
         shutdownNotice = ShutdownNotice { membership.serving().any { it.address != self.address } },
         relays = RelayedRequests { peer -> membership.serving().find { it.address == peer }?.row?.operatorAddress },
     )
-    private val frontHandler = FrontHandler(context, ::routesInUse)
+    private val frontHandler = FrontHandler(context, ::routesInUse, configuration::decide)
     private val front = endpoint(settings.frontAddress, frontHandler)
     private val auxiliaryEndpoints = listOf(
         endpoint(settings.readyAddress, ReadinessHandler { membership.state == InstanceState.SERVING }),
@@ -234,6 +254,7 @@
         metrics.registerGauge("arbutusnotch_dispatch_limited_servers") { dispatchService.limitedServers }
         metrics.registerGauge("arbutusnotch_stream_origins") { streamOrigins.size }
         metrics.registerGauge("arbutusnotch_quarantined") { quarantine.suspiciousDigests(clock.now()).size }
+        metrics.registerGauge("arbutusnotch_configuration_age_millis") { configuration.ageMillis }
         group.execute {
             membership.replaceSeeds(settings.seeds)
             routeFollower.start()
@@ -279,7 +300,12 @@
         capacity = settings.processorCapacity,
     )
 
-    private fun follower(prefix: String, listener: StoreListener) = StoreFollower(
+    private fun follower(
+        prefix: String,
+        listener: StoreListener,
+        watchTime: () -> Duration = ::usualWatchTime,
+        onCurrent: (sentAt: Timestamp, validAt: Timestamp) -> Unit = { _, _ -> },
+    ) = StoreFollower(
         prefix = prefix,
         address = socketAddress(settings.storeAddress),
         protocol = protocols.store,
@@ -288,9 +314,12 @@
         random = random,
         listener = listener,
         memory = answerBufferBudget,
-        watchTime = { WatchTime.of(membership.counts().reachable) },
+        watchTime = watchTime,
+        onCurrent = onCurrent,
     )
 
+    private fun usualWatchTime() = WatchTime.of(membership.counts().reachable)
+
     private fun endpoint(address: String, handler: RequestHandler) =
         HttpEndpoint(socketAddress(address), group, clock, { publishedState.routes?.limits ?: INITIAL_LIMITS }, handler)
 
@@ -337,6 +366,8 @@
 
             is DispatchReply -> dispatchClient.onReply(message, sender)
 
+            is ConfigurationConfirmation -> configuration.onMessage(message)
+
             is StreamMessage -> streamOrigins.onMessage(message, sender)
 
             else -> log.warn("unexpected_message") {
@@ -365,6 +396,7 @@
         lastTick = now
         if (gap > LATE_TICK_THRESHOLD) log.warn("tick_late") { field("gap_millis", gap.inWholeMilliseconds) }
         try {
+            configuration.tick()
             crashReporter.tick()
             membership.tick(now)
             tenure.tick(publishedState.routes?.pools?.keys.orEmpty(), now)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
@@ -8,9 +8,11 @@
 
 import org.arbutusnotch.core.forwarding.ServerStage
 import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.ContentDigest
 import org.arbutusnotch.core.id.FailureDomainId
 import org.arbutusnotch.core.id.PromptPartId
 import org.arbutusnotch.core.id.RequestId
+import org.arbutusnotch.core.id.WorkspaceId
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
 import org.arbutusnotch.forwarding.http.RequestHead
 import org.arbutusnotch.forwarding.http.ResponseHead
@@ -100,11 +102,24 @@
     public val limit: ServerLimit = ServerLimit.Unknown,
 )
 
+/**
+ * Tells a backend server who sent a request, in place of the key.
+ *
+ * @property workspace workspace of the key; null if the route needs none
+ */
+public data class CallerIdentity(public val workspace: WorkspaceId?)
+
 /** Translates the messages between callers and backend servers. */
 public interface ForwardingProtocol {
     /** Lower-case names of header fields that a `Connection` header must not remove. */
     public val endToEndHeaders: Set<String>
 
+    /** Lower-case name of the header field that carries the key of a workspace. */
+    public val keyHeader: String
+
+    /** Returns the SHA-256 digest of the key in [head]; null when it is missing or malformed. */
+    public fun readKey(head: RequestHead): ContentDigest?
+
     /** Parses [head]; returns null when the request has no id. */
     public fun readRequest(head: RequestHead): CallerRequest?
 
@@ -113,6 +128,7 @@
      *
      * @param head head of the caller's request without the header fields of its connection
      * @param resumeAfter id of the event after which the stream resumes; null for a new stream
+     * @param identity replaces the key of the caller; null to forward the key, as without workspaces
      */
     public fun serverRequest(
         head: RequestHead,
@@ -120,6 +136,7 @@
         part: RunPart,
         remaining: Duration,
         resumeAfter: String? = null,
+        identity: CallerIdentity? = null,
     ): RequestHead
 
     /** Returns [head] of a caller's request for another instance, which handles it within [remaining]. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -130,7 +130,13 @@
 
         fun start() {
             val remaining = deadlineAt - context.now()
-            val head = context.protocol.serverRequest(request.message.head, place.server.id, RunPart.Whole, remaining)
+            val head = context.protocol.serverRequest(
+                head = request.message.head,
+                server = place.server.id,
+                part = RunPart.Whole,
+                remaining = remaining,
+                identity = request.identity,
+            )
             val started = newServerCall(head, this)
             call = started
             started.start(socketAddress(place.server.address), context.group)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -20,6 +20,7 @@
 import org.arbutusnotch.core.quarantine.Suspects
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.core.workspace.Workspace
+import org.arbutusnotch.forwarding.CallerIdentity
 import org.arbutusnotch.forwarding.CallerRequest
 import org.arbutusnotch.forwarding.ServerAnswer
 import org.arbutusnotch.forwarding.dispatch.GrantedPlace
@@ -47,6 +48,7 @@
  * @property suspects what the request has in common with others that may crash servers
  * @property relayed whether another instance, which reaches no server, has passed the request on
  * @property workspace workspace of the caller's key; null if the request needs none
+ * @property hasWorkspaces whether the deployment has workspaces, so that servers must not receive the caller's key
  */
 internal class RoutedRequest(
     val message: HttpRequestMessage,
@@ -57,7 +59,12 @@
     val work: DispatchWork,
     val relayed: Boolean = false,
     val workspace: Workspace? = null,
-)
+    val hasWorkspaces: Boolean = false,
+) {
+    /** What servers learn of the caller in place of its key; null if they receive the key. */
+    val identity: CallerIdentity?
+        get() = if (hasWorkspaces) CallerIdentity(workspace?.id) else null
+}
 
 internal abstract class Exchange(
     protected val context: ForwardingContext,
@@ -180,7 +187,7 @@
         val placeRequest = PlaceRequest(
             pool = pool,
             work = work,
-            priority = request.route.priority,
+            priority = request.workspace?.priority ?: request.route.priority,
             objectiveAt = objectiveAt,
             startBy = startBy,
             deadlineAt = deadlineAt,
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
@@ -6,8 +6,11 @@
 import org.arbutusnotch.core.forwarding.Route
 import org.arbutusnotch.core.forwarding.RouteKind
 import org.arbutusnotch.core.forwarding.RouteTable
+import org.arbutusnotch.core.id.ContentDigest
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.quarantine.Suspects
+import org.arbutusnotch.core.workspace.AccessDecision
+import org.arbutusnotch.core.workspace.Workspace
 import org.arbutusnotch.forwarding.CallerRequest
 import org.arbutusnotch.forwarding.http.ConnectionHeaders
 import org.arbutusnotch.forwarding.http.DisconnectListener
@@ -19,9 +22,18 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-internal class FrontHandler(private val context: ForwardingContext, private val routes: () -> RouteTable?) :
-    RequestHandler {
+/**
+ * Handles the requests of callers.
+ *
+ * @param access decides on a request by its route and the digest of its key
+ */
+internal class FrontHandler(
+    private val context: ForwardingContext,
+    private val routes: () -> RouteTable?,
+    private val access: (RouteTable, Route, ContentDigest?) -> AccessDecision,
+) : RequestHandler {
     private val log = EventLog("front")
+    private val endToEndHeadersAndKey = context.protocol.endToEndHeaders + context.protocol.keyHeader
 
     override fun handle(request: HttpRequestMessage, responder: Responder): DisconnectListener? =
         handle(request, responder, relayed = false)
@@ -46,16 +58,26 @@
         }
         if (route == null) return reject("unknown_route", LocalResponses.unknownRoute(), caller, table, responder)
         if (pool == null) return reject("no_pool", NOT_CONFIGURED, caller, table, responder)
-        val endToEndFields = ConnectionHeaders.forwarded(request.head, context.protocol.endToEndHeaders)
+        val workspace = when (val decision = access(table, route, context.protocol.readKey(request.head))) {
+            is AccessDecision.Granted -> decision.workspace
+
+            AccessDecision.Unauthenticated ->
+                return reject("unauthenticated", LocalResponses.unauthenticated(), caller, table, responder)
+
+            is AccessDecision.Unconfirmed ->
+                return reject(UNCONFIRMED_REASON, UNCONFIRMED, caller, table, responder, decision.workspace)
+        }
+        val endToEndFields = ConnectionHeaders.forwarded(request.head, endToEndHeaders(table))
         val message = HttpRequestMessage(request.head.copy(headers = endToEndFields), request.body)
         val suspects = Suspects.of(contentDigest(message), caller.sharedParts)
-        val routed = RoutedRequest(message, suspects, caller, route, pool, workOf(route, caller), relayed)
+        val routed = RoutedRequest(message, suspects, caller, route, pool, workOf(route, caller), relayed, workspace, table.access != null)
         log.info("request_received") {
             field("request", caller.id)
             field("content", suspects.content)
             field("route", route.name)
             field("revision", table.revision)
             field("pool", pool)
+            workspace?.let { field("workspace", it.id) }
             if (relayed) field("relayed", true)
             field("remaining_millis", caller.remaining?.inWholeMilliseconds)
             field("prompt_tokens", caller.promptTokens)
@@ -72,6 +94,10 @@
         return exchange
     }
 
+    /** Header fields that a `Connection` header must not remove; an instance that gets the request needs the key. */
+    private fun endToEndHeaders(table: RouteTable) =
+        if (table.access == null) context.protocol.endToEndHeaders else endToEndHeadersAndKey
+
     private fun workOf(route: Route, caller: CallerRequest): DispatchWork = when (route.kind) {
         is RouteKind.Generation -> DispatchWork.Generation(
             promptTokens = caller.promptTokens,
@@ -88,6 +114,7 @@
         caller: CallerRequest?,
         table: RouteTable?,
         responder: Responder,
+        workspace: Workspace? = null,
     ): DisconnectListener? {
         context.metrics.recordRequest("rejected", reason, Duration.ZERO)
         log.info("request_rejected") {
@@ -95,6 +122,7 @@
             field("reason", reason)
             field("status", head.status)
             field("revision", table?.revision)
+            workspace?.let { field("workspace", it.id) }
         }
         responder.send(head, ByteArray(0))
         return null
@@ -109,6 +137,11 @@
 
         /** Retry delay for a request that another instance passes on while this one has no room for it. */
         val RELAYS_FULL_RETRY = 300.milliseconds
+
+        /** Retry delay while the configuration is not confirmed: the time between two calls to the store. */
+        val UNCONFIRMED_RETRY = 500.milliseconds
+        const val UNCONFIRMED_REASON = "configuration_unconfirmed"
+        val UNCONFIRMED = LocalResponses.refusal(UNCONFIRMED_REASON, UNCONFIRMED_RETRY)
         val RELAYS_FULL = LocalResponses.refusal("relays_full", RELAYS_FULL_RETRY)
         val NOT_CONFIGURED = LocalResponses.refusal("no_configuration", NO_ROUTES_RETRY)
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -179,6 +179,7 @@
             part = RunPart.Prefill,
             remaining = remaining,
             resumeAfter = relay.lastEventId,
+            identity = request.identity,
         )
         val call = BufferedCall(
             request = HttpRequestMessage(head, request.message.body),
@@ -483,6 +484,7 @@
                 part = part,
                 remaining = remaining,
                 resumeAfter = relay.lastEventId,
+                identity = request.identity,
             )
             val started = newServerCall(head, this)
             call = started
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/LocalResponses.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/LocalResponses.kt
@@ -13,6 +13,7 @@
     const val BAD_GATEWAY: Int = 502
     const val GATEWAY_TIMEOUT: Int = 504
     private const val SERVICE_UNAVAILABLE = 503
+    private const val UNAUTHORIZED = 401
     private const val NOT_FOUND = 404
     private const val BAD_REQUEST = 400
     private const val MILLIS_PER_SECOND = 1_000.0
@@ -47,6 +48,16 @@
         )
     }
 
+    /** Returns a response that states that the request did not run, because it carries no valid key. */
+    fun unauthenticated(): ResponseHead {
+        val headers = listOf(
+            HeaderField("WWW-Authenticate", "Bearer"),
+            HeaderField(OUTCOME_HEADER, "not_run"),
+            HeaderField(REASON_HEADER, "unauthenticated"),
+        )
+        return ResponseHead(UNAUTHORIZED, "Unauthorized", headers)
+    }
+
     fun unknownRoute(): ResponseHead =
         ResponseHead(NOT_FOUND, "Not Found", listOf(HeaderField(REASON_HEADER, "unknown_route")))
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/PublishedState.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/PublishedState.kt
@@ -81,6 +81,7 @@
             field("previous_revision", current?.revision)
             field("store_revision", item.revision)
             field("routes", table.routes.size)
+            table.workspaces?.let { field("workspaces", it.size) }
         }
         onRoutes(table)
     }
@@ -98,6 +99,9 @@
     @Suppress("TooGenericExceptionCaught") // Another writer may have left bytes that no decoder expects.
     private fun <T : Any> read(item: StoreItem, decode: (StoreItem) -> T?): T? = try {
         decode(item).also { if (it == null) logUnreadable(item, detail = null) }
+    } catch (failure: UnreadableItemException) {
+        logUnreadable(item, failure.message)
+        null
     } catch (failure: RuntimeException) {
         logUnreadable(item, failure.toString())
         null
@@ -128,9 +132,9 @@
         }
     }
 
-    /** Logs an unreadable entry the first time only, however often it is written. */
+    /** Logs an unreadable entry the first time only for each [detail], however often it is written. */
     private fun logUnreadable(item: StoreItem, detail: String?) {
-        if (reportedKeys.size >= MAXIMUM_REPORTED_KEYS || !reportedKeys.add(item.key)) return
+        if (reportedKeys.size >= MAXIMUM_REPORTED_KEYS || !reportedKeys.add("${item.key} $detail")) return
         log.warn("unreadable_entry") {
             field("key", item.key)
             field("store_revision", item.revision)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -48,6 +48,8 @@
  * Follows the items under [prefix].
  *
  * @param watchTime returns for how long the next call waits for changes
+ * @param onCurrent is called when the answer to a call that was sent at the first time shows that the items were
+ * current at the second one
  */
 internal class StoreFollower(
     private val prefix: String,
@@ -59,11 +61,13 @@
     private val listener: StoreListener,
     private val memory: AnswerBufferBudget,
     private val watchTime: () -> Duration = { WatchTime.of(instances = 1) },
+    private val onCurrent: (sentAt: Timestamp, validAt: Timestamp) -> Unit = { _, _ -> },
 ) {
     private val log = EventLog("store")
     private val items = FollowedItems()
     private var listing = mutableListOf<StoreItem>()
     private var listingPosition: StorePosition? = null
+    private var listingBegunAt = Timestamp(0)
 
     /** Whether changes since [position] are no longer available. */
     private var historyLost = false
@@ -75,6 +79,12 @@
     /** Whether the latest call waits for changes. */
     var isWatching = false
         private set
+
+    /** Time at which the latest call was sent if it is a watch that does not wait; null otherwise. */
+    private var checkBegunAt: Timestamp? = null
+
+    /** Whether the latest call only asks whether the items are current, which leads no further if they are. */
+    private var confirms = false
     private var failingSince: Timestamp? = null
 
     /** Time by which the next step follows; null before the start. */
@@ -128,8 +138,22 @@
         watch(from, IMMEDIATE_DURATION)
     }
 
+    /**
+     * Replaces the waiting call by one that does not wait, to learn whether the items are current. Has no effect if the
+     * latest call does not wait either and was sent at [notBefore] or later.
+     */
+    fun confirm(notBefore: Timestamp) {
+        val from = position
+        val isChecking = checkBegunAt.let { it != null && it >= notBefore }
+        if (!isWatching || from == null || isChecking) return
+        current?.cancel()
+        watch(from, IMMEDIATE_DURATION)
+        confirms = true
+    }
+
     private fun list(after: String?) {
         if (after == null) {
+            listingBegunAt = clock.now()
             listing = mutableListOf()
             listingPosition = null
         }
@@ -150,14 +174,15 @@
         }
         recordSuccess()
         historyLost = false
-        replace(listing, start)
+        if (replace(listing, start)) onCurrent(listingBegunAt, listingBegunAt)
         proceed()
     }
 
-    private fun replace(newItems: List<StoreItem>, newPosition: StorePosition) {
+    /** Returns whether [newItems] are not older than the known ones. */
+    private fun replace(newItems: List<StoreItem>, newPosition: StorePosition): Boolean {
         val previous = position
         val replacement = items.replace(newItems, newPosition)
-        if (replacement == Replacement.OUTDATED) return
+        if (replacement == Replacement.OUTDATED) return false
         if (replacement == Replacement.RESTORED) {
             log.warn("store_restored") {
                 field("prefix", prefix)
@@ -168,6 +193,7 @@
             }
         }
         listener.onReplaced(items.values, restored = replacement == Replacement.RESTORED)
+        return true
     }
 
     /** Watches for further changes, or lists if they cannot be watched. */
@@ -183,14 +209,23 @@
     private fun watch(from: StorePosition, duration: Duration = if (isFailing) IMMEDIATE_DURATION else watchTime()) {
         val begunAt = clock.now()
         val request = protocol.watchRequest(prefix, from.revision, duration)
-        call(request, duration + WATCH_MARGIN) { response, era -> onChanges(response, from, era, begunAt) }
+        call(request, duration + WATCH_MARGIN) { response, era ->
+            onChanges(response, from, era, begunAt, duration)
+        }
         isWatching = true
+        checkBegunAt = begunAt.takeIf { duration == IMMEDIATE_DURATION }
     }
 
-    private fun onChanges(response: HttpResponseMessage, from: StorePosition, era: Long, begunAt: Timestamp) {
+    private fun onChanges(
+        response: HttpResponseMessage,
+        from: StorePosition,
+        era: Long,
+        begunAt: Timestamp,
+        duration: Duration,
+    ) {
         val changes = protocol.readChanges(response.body)
         if (changes == null) return retryAfterFailure("unreadable changes")
-        val checksEra = isFailing
+        val asksOnce = isFailing || confirms
         recordSuccess()
         // Revisions of a later era do not continue those of the position that was watched.
         if (era != from.era || items.needsListing) return resumeLater()
@@ -198,7 +233,9 @@
         val advanced = items.advanceTo(StorePosition(era, changes.storeRevision))
         val isFruitful = advanced || clock.now() >= begunAt + MINIMUM_WATCH_DURATION
         if (isFruitful) fruitlessCalls = 0
-        if (isFruitful || checksEra) proceed() else resumeLater()
+        val hasWaited = changes.changes.isEmpty() && clock.now() >= begunAt + duration
+        onCurrent(begunAt, if (hasWaited) begunAt + duration else begunAt)
+        if (isFruitful || asksOnce) proceed() else resumeLater()
     }
 
     private fun call(
@@ -219,6 +256,8 @@
         }
         current = call
         isWatching = false
+        checkBegunAt = null
+        confirms = false
         expectedBy = startedAt + timeout + STOPPED_MARGIN
         call.start(address, group)
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreProtocol.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreProtocol.kt
@@ -67,6 +67,9 @@
     public fun readChanges(body: ByteArray): StoreChanges?
 }
 
+/** Tells why an item cannot be read; [message] is logged and contains no secret part of the item. */
+public class UnreadableItemException(override val message: String) : RuntimeException(message)
+
 /** Decodes items of the store into routes and backend servers. */
 public interface StoreItemReader {
     /** Prefix of the key of the route table. */
@@ -75,7 +78,10 @@
     /** Prefix of the keys of backend servers. */
     public val serverPrefix: String
 
-    /** Returns the route table in [item]; null when the item holds something else or cannot be read. */
+    /**
+     * Returns the route table in [item]; null when the item holds something else or cannot be read. Throws
+     * [UnreadableItemException] instead if the log is to name the part that cannot be read.
+     */
     public fun readRoutes(item: StoreItem): RouteTable?
 
     /** Returns the server in [item]; null when the item does not describe one. */
