--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/PeerMessageHandler.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/PeerMessageHandler.kt
@@ -12,6 +12,7 @@
 import org.arbutusnotch.core.message.PermitClose
 import org.arbutusnotch.core.message.PermitReply
 import org.arbutusnotch.core.message.PermitRequest
+import org.arbutusnotch.core.message.QuotaMessage
 import org.arbutusnotch.core.message.ReleaseRequest
 import org.arbutusnotch.core.message.ReserveReply
 import org.arbutusnotch.core.message.ReserveRequest
@@ -60,6 +61,7 @@
 
         // Forwarding instances alone exchange these.
         is DispatchMessage,
+        is QuotaMessage,
         is StreamMessage,
         is Acknowledged,
         is ConfigurationContent,
