Limit the requests of workspaces over all instances together

A request of a workspace with a quota asks the owner of the quota for its units before it asks for a place, and is refused with 429 and the time until the bucket holds them. The owner is selected by rendezvous hashing over the dispatch candidates. Units of requests that no server has run are returned, also before a request is passed on to another instance, which then counts it. Optional settings state by how much the quota may be exceeded. FrontHandler does not set the workspace yet.

--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/workspace/QuotaLedgerTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/workspace/QuotaLedgerTest.kt
@@ -89,7 +89,7 @@
         expectThat(drain(Duration.ZERO)).isEqualTo(initialCredit.toInt())
     }
 
-    /** Guards against a credit above the new burst after the limit was lowered, and against a jump when it is raised. */
+    /** Guards against a credit above a lowered burst, and against a jump of the credit when the limit is raised. */
     @Test
     fun `changed limit applies at once`() {
         request(1)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -37,6 +37,9 @@
 import org.arbutusnotch.core.message.InstanceRow
 import org.arbutusnotch.core.message.InstanceState
 import org.arbutusnotch.core.message.PeerMessage
+import org.arbutusnotch.core.message.QuotaReply
+import org.arbutusnotch.core.message.QuotaRequest
+import org.arbutusnotch.core.message.QuotaReturn
 import org.arbutusnotch.core.message.RevisionMark
 import org.arbutusnotch.core.message.ServerNotice
 import org.arbutusnotch.core.message.StreamMessage
@@ -67,6 +70,9 @@
 import org.arbutusnotch.forwarding.membership.Membership
 import org.arbutusnotch.forwarding.membership.PeerLink
 import org.arbutusnotch.forwarding.quarantine.CrashReporter
+import org.arbutusnotch.forwarding.quota.QuotaClient
+import org.arbutusnotch.forwarding.quota.QuotaOwners
+import org.arbutusnotch.forwarding.quota.QuotaService
 import org.arbutusnotch.forwarding.registry.PublishedState
 import org.arbutusnotch.forwarding.registry.SnapshotItem
 import org.arbutusnotch.forwarding.registry.SnapshotPart
@@ -161,6 +167,28 @@
         onSilent = { membership.verify(it, clock.now()) },
         now = { clock.now() },
     )
+    private val quotaOwners = QuotaOwners(
+        self = self,
+        candidates = { membership.dispatchCandidates() },
+        recentlyLost = { membership.recentlyLost(clock.now()).map { it.instance } },
+        counts = { membership.counts() },
+        now = { clock.now() },
+    )
+    private val quotaService = QuotaService(
+        tolerance = settings.quotaTolerance,
+        owners = quotaOwners,
+        routes = { publishedState.routes },
+        reply = { target, reply -> deliver(target, reply) },
+    )
+    private val quotaClient = QuotaClient(
+        self = self,
+        owners = quotaOwners,
+        revision = { publishedState.routes?.revision },
+        send = { target, message -> deliver(target, message) },
+        onSilent = { membership.verify(it, clock.now()) },
+        record = { workspace, result -> metrics.recordQuota(workspace, result) },
+        now = { clock.now() },
+    )
     private val tenure = DispatcherTenure({ dispatchClient.isDispatcher(it) }, { membership.counts().hasMajority })
     private val announcementHandler = AnnouncementHandler(
         registry = registry,
@@ -190,6 +218,7 @@
         protocol = protocols.forwarding,
         registry = registry,
         dispatch = dispatchClient,
+        quotas = quotaClient,
         announcementHandler = announcementHandler,
         crashReporter = crashReporter,
         originResolver = OriginResolver(streamOrigins, registry, historyReader) { clock.now() },
@@ -232,6 +261,9 @@
         metrics.registerGauge("arbutusnotch_dispatch_waiting") { dispatchService.queueLength }
         metrics.registerGauge("arbutusnotch_dispatch_places") { dispatchService.placesInUse }
         metrics.registerGauge("arbutusnotch_dispatch_limited_servers") { dispatchService.limitedServers }
+        metrics.registerGauge("arbutusnotch_quota_workspaces") { quotaService.workspaceCount }
+        metrics.registerGauge("arbutusnotch_quota_tickets") { quotaService.ticketCount }
+        metrics.registerGauge("arbutusnotch_quota_waiting") { quotaClient.pendingCount }
         metrics.registerGauge("arbutusnotch_stream_origins") { streamOrigins.size }
         metrics.registerGauge("arbutusnotch_quarantined") { quarantine.suspiciousDigests(clock.now()).size }
         group.execute {
@@ -337,6 +369,12 @@
 
             is DispatchReply -> dispatchClient.onReply(message, sender)
 
+            is QuotaRequest -> quotaService.onRequest(message, now)
+
+            is QuotaReturn -> quotaService.onReturn(message, now)
+
+            is QuotaReply -> quotaClient.onReply(message, sender)
+
             is StreamMessage -> streamOrigins.onMessage(message, sender)
 
             else -> log.warn("unexpected_message") {
@@ -370,6 +408,8 @@
             tenure.tick(publishedState.routes?.pools?.keys.orEmpty(), now)
             dispatchService.tick(now)
             dispatchClient.tick(now)
+            quotaService.tick(now)
+            quotaClient.tick(now)
             streamOrigins.tick(now)
             checkForMissedChanges(now)
             beginServing()
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingSettings.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingSettings.kt
@@ -5,6 +5,7 @@
 
 import org.arbutusnotch.core.id.FailureDomainId
 import org.arbutusnotch.core.id.InstanceAddress
+import org.arbutusnotch.core.workspace.QuotaTolerance
 import kotlin.time.Duration
 
 /**
@@ -23,6 +24,7 @@
  * @property retryRatio retries per request, for all instances together
  * @property fixedRetries retries per budget window, independent of the number of requests, for all instances together
  * @property processorCapacity processor time of the instance in cores; 0 when unknown
+ * @property quotaTolerance what the requests of a workspace may exceed its quota by
  */
 public data class ForwardingSettings(
     public val peerAddress: InstanceAddress,
@@ -39,4 +41,5 @@
     public val retryRatio: Double,
     public val fixedRetries: Int,
     public val processorCapacity: Double = 0.0,
+    public val quotaTolerance: QuotaTolerance = QuotaTolerance(),
 )
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -118,6 +118,7 @@
         private set
 
     private var relay: Relay? = null
+    private val admission = QuotaAdmission(context.quotas, request)
 
     /** Answers that are buffered in memory. */
     private val bodies = mutableListOf<BufferedBody>()
@@ -127,9 +128,16 @@
         cancelDeadline = context.schedule(deadlineAt) { if (!finished) onDeadline() }
         stopObservingQuarantine = context.crashReporter.onQuarantine { refuseWaitingIfQuarantined() }
         stopObservingShutdown = context.shutdownNotice.observe { onShutdown(answerBy = it) }
-        if (finished) stopObservingShutdown() else begin()
+        if (finished) stopObservingShutdown() else admission.request(::beginIfOpen, ::refuseExceeded)
     }
 
+    private fun beginIfOpen() {
+        if (!finished) begin()
+    }
+
+    private fun refuseExceeded(retryAfter: Duration?) =
+        refuse(QuotaAdmission.QUOTA_EXCEEDED, retryAfter, LocalResponses.TOO_MANY_REQUESTS)
+
     /** Starts the first attempt. */
     protected open fun begin(): Unit = requestPlace(countsAsRetry = false)
 
@@ -248,6 +256,7 @@
         val peer = peers.firstOrNull { context.relays.addressOf(it) != null } ?: return false
         val started = Relay(peer, others = peers - peer)
         relay = started
+        admission.giveBack()
         started.start(context.relays.addressOf(peer) ?: return false)
         return true
     }
@@ -391,13 +400,13 @@
     protected open fun stopAfterDisconnect(): Unit = stopAttempt()
 
     /**
-     * Answers that the request did not run and will not; the caller may retry after [retryAfter], or in vain if that is
-     * null.
+     * Answers with [status] that the request did not run and will not; the caller may retry after [retryAfter], or in
+     * vain if that is null.
      */
-    protected fun refuse(reason: String, retryAfter: Duration?) {
+    protected fun refuse(reason: String, retryAfter: Duration?, status: Int = LocalResponses.SERVICE_UNAVAILABLE) {
         if (finished) return
         finish("refused", reason)
-        responder.send(LocalResponses.refusal(reason, retryAfter), ByteArray(0))
+        responder.send(LocalResponses.refusal(reason, retryAfter, status), ByteArray(0))
     }
 
     /** Breaks off the answer, of which a part was sent. */
@@ -476,6 +485,7 @@
         relay?.cancel()
         if (request.relayed) context.relays.recordEnd()
         cancelPlaceRequest()
+        if (!mayHaveRun) admission.giveBack()
         val elapsed = context.now() - receivedAt
         context.metrics.recordRequest(outcome, reason, elapsed)
         log.info("request_ended") {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingContext.kt
@@ -12,6 +12,7 @@
 import org.arbutusnotch.forwarding.ForwardingProtocol
 import org.arbutusnotch.forwarding.dispatch.DispatchClient
 import org.arbutusnotch.forwarding.quarantine.CrashReporter
+import org.arbutusnotch.forwarding.quota.QuotaClient
 import org.arbutusnotch.forwarding.stream.OriginResolver
 import org.arbutusnotch.telemetry.Clock
 import java.util.concurrent.TimeUnit
@@ -30,6 +31,7 @@
     val random: Random,
     val metrics: ForwardingMetrics,
     val answerBufferBudget: AnswerBufferBudget,
+    val quotas: QuotaClient? = null,
     val relays: RelayedRequests = RelayedRequests(),
     val shutdownNotice: ShutdownNotice = ShutdownNotice(),
     val routeDurations: RouteDurations = RouteDurations(),
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingMetrics.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingMetrics.kt
@@ -7,12 +7,14 @@
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
+import org.arbutusnotch.core.id.WorkspaceId
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
 /** Records the outcomes of requests and attempts in [registry]. */
 internal class ForwardingMetrics(private val registry: MeterRegistry) {
     private val counters = HashMap<Pair<String, String>, Counter>()
+    private val quotaWorkspaces = HashSet<WorkspaceId>()
     private val timers = HashMap<String, Timer>()
 
     /** Counts a request that ended with [outcome] for [reason] after [elapsed]. */
@@ -44,12 +46,29 @@
         }.increment()
     }
 
+    /** Counts a request of [workspace] whose units ended in [result]; workspaces above a number share one counter. */
+    fun recordQuota(workspace: WorkspaceId, result: String) {
+        val isNamed = workspace in quotaWorkspaces ||
+            (quotaWorkspaces.size < MAXIMUM_WORKSPACES && quotaWorkspaces.add(workspace))
+        val name = if (isNamed) workspace.value else OTHER_WORKSPACES
+        counters.getOrPut("quota $name" to result) {
+            Counter.builder("arbutusnotch_quota_requests").tag("workspace", name).tag("result", result)
+                .register(registry)
+        }.increment()
+    }
+
     /** Registers a gauge named [name] that reports the value of [read]. */
     fun registerGauge(name: String, read: () -> Int) {
         Gauge.builder(name) { read().toDouble() }.register(registry)
     }
 
     private companion object {
+        /** Workspaces with counters of their own, so that the metrics of a small instance stay small. */
+        const val MAXIMUM_WORKSPACES = 500
+
+        /** Name of the counters of all others. */
+        const val OTHER_WORKSPACES = "(others)"
+
         /** Upper bounds of the latency histogram. */
         val LATENCY_BOUNDS = listOf(25L, 50L, 100L, 200L, 400L, 800L, 1_600L, 3_200L, 6_400L, 12_800L)
             .map { java.time.Duration.ofMillis(it) }.toTypedArray()
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/LocalResponses.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/LocalResponses.kt
@@ -12,7 +12,8 @@
 internal object LocalResponses {
     const val BAD_GATEWAY: Int = 502
     const val GATEWAY_TIMEOUT: Int = 504
-    private const val SERVICE_UNAVAILABLE = 503
+    const val SERVICE_UNAVAILABLE: Int = 503
+    const val TOO_MANY_REQUESTS: Int = 429
     private const val NOT_FOUND = 404
     private const val BAD_REQUEST = 400
     private const val MILLIS_PER_SECOND = 1_000.0
@@ -22,16 +23,17 @@
     private const val OUTCOME_HEADER = "X-Outcome"
 
     /**
-     * Returns a response that states that the request did not run and will not. [retryAfter] is null if the request
-     * cannot run later either.
+     * Returns a response with [status] that states that the request did not run and will not. [retryAfter] is null if
+     * the request cannot run later either.
      */
-    fun refusal(reason: String, retryAfter: Duration?): ResponseHead {
+    fun refusal(reason: String, retryAfter: Duration?, status: Int = SERVICE_UNAVAILABLE): ResponseHead {
         val headers = listOfNotNull(
             retryAfter?.let { HeaderField("Retry-After", seconds(it)) },
             HeaderField(OUTCOME_HEADER, "not_run"),
             HeaderField(REASON_HEADER, reason),
         )
-        return ResponseHead(SERVICE_UNAVAILABLE, "Service Unavailable", headers)
+        val phrase = if (status == TOO_MANY_REQUESTS) "Too Many Requests" else "Service Unavailable"
+        return ResponseHead(status, phrase, headers)
     }
 
     private fun seconds(duration: Duration): String =
