--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingSettings.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingSettings.kt
@@ -5,6 +5,7 @@
 
 import org.arbutusnotch.core.id.FailureDomainId
 import org.arbutusnotch.core.id.InstanceAddress
+import org.arbutusnotch.core.workspace.QuotaTolerance
 import kotlin.time.Duration
 
 /**
@@ -25,6 +26,7 @@
  * @property processorCapacity processor time of the instance in cores; 0 when unknown
  * @property revocationTime time after which a key that was removed from the configuration must be rejected; null for
  * no limit
+ * @property quotaTolerance what the requests of a workspace may exceed its quota by
  */
 public data class ForwardingSettings(
     public val peerAddress: InstanceAddress,
@@ -42,4 +44,5 @@
     public val fixedRetries: Int,
     public val processorCapacity: Double = 0.0,
     public val revocationTime: Duration? = null,
+    public val quotaTolerance: QuotaTolerance = QuotaTolerance(),
 )
