--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/workspace/ConfirmationTracker.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/workspace/ConfirmationTracker.kt
@@ -48,7 +48,7 @@
         return paused
     }
 
-    /** Records that a call to the store, sent at [sentAt], showed that the configuration was the newest at [validAt]. */
+    /** Records that a call to the store, sent at [sentAt], showed that the configuration was current at [validAt]. */
     public fun confirmByStore(sentAt: Timestamp, validAt: Timestamp) {
         if (sentAt >= voidBefore) confirm(validAt)
     }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/workspace/ConfirmationTrackerTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/workspace/ConfirmationTrackerTest.kt
@@ -18,7 +18,7 @@
     private var now = Timestamp(1_000_000)
     private var wall = Timestamp(5_000_000)
 
-    /** Lets [millis] pass, of which the monotonic clock does not count [uncounted], and returns whether it is a pause. */
+    /** Lets [millis] pass, [uncounted] of them for the wall clock only; returns whether that is a pause. */
     private fun pass(millis: Long, uncounted: Long = 0): Boolean {
         now += (millis - uncounted).milliseconds
         wall += millis.milliseconds
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/workspace/ConfirmingInstancesTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/workspace/ConfirmingInstancesTest.kt
@@ -29,8 +29,7 @@
         reachable = true,
     )
 
-    private fun confirming(views: List<InstanceView>) =
-        views.filter { ConfirmingInstances.contains(it.address, views) }
+    private fun confirming(views: List<InstanceView>) = views.filter { ConfirmingInstances.contains(it.address, views) }
 
     /** Guards against a domain whose instances have no confirmations once it is cut off. */
     @Test
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
@@ -58,19 +58,16 @@
         }
         if (route == null) return reject("unknown_route", LocalResponses.unknownRoute(), caller, table, responder)
         if (pool == null) return reject("no_pool", NOT_CONFIGURED, caller, table, responder)
-        val workspace = when (val decision = access(table, route, context.protocol.readKey(request.head))) {
-            is AccessDecision.Granted -> decision.workspace
-
-            AccessDecision.Unauthenticated ->
-                return reject("unauthenticated", LocalResponses.unauthenticated(), caller, table, responder)
-
-            is AccessDecision.Unconfirmed ->
-                return reject(UNCONFIRMED_REASON, UNCONFIRMED, caller, table, responder, decision.workspace)
-        }
+        val decision = access(table, route, context.protocol.readKey(request.head))
+        if (decision !is AccessDecision.Granted) return rejectKey(decision, caller, table, responder)
+        val workspace = decision.workspace
         val endToEndFields = ConnectionHeaders.forwarded(request.head, endToEndHeaders(table))
         val message = HttpRequestMessage(request.head.copy(headers = endToEndFields), request.body)
         val suspects = Suspects.of(contentDigest(message), caller.sharedParts)
-        val routed = RoutedRequest(message, suspects, caller, route, pool, workOf(route, caller), relayed, workspace, table.access != null)
+        val routed = RoutedRequest(
+            message, suspects, caller, route, pool, workOf(route, caller), relayed, workspace,
+            table.access != null,
+        )
         log.info("request_received") {
             field("request", caller.id)
             field("content", suspects.content)
@@ -94,6 +91,17 @@
         return exchange
     }
 
+    private fun rejectKey(
+        decision: AccessDecision,
+        caller: CallerRequest,
+        table: RouteTable,
+        responder: Responder,
+    ): DisconnectListener? = if (decision is AccessDecision.Unconfirmed) {
+        reject(UNCONFIRMED_REASON, UNCONFIRMED, caller, table, responder, decision.workspace)
+    } else {
+        reject("unauthenticated", LocalResponses.unauthenticated(), caller, table, responder)
+    }
+
     /** Header fields that a `Connection` header must not remove; an instance that gets the request needs the key. */
     private fun endToEndHeaders(table: RouteTable) =
         if (table.access == null) context.protocol.endToEndHeaders else endToEndHeadersAndKey
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/workspace/ConfirmedConfiguration.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/workspace/ConfirmedConfiguration.kt
@@ -82,7 +82,7 @@
         tracker.confirmByStore(sentAt, validAt)
         val revision = routes()?.revision ?: return
         val isRecent = sentAt >= tracker.voidBefore && now - validAt <= QUERY_AGE
-        if (!isUsed || !isRecent || now < nextSendAt || !isConfirming) return
+        if (!isConfirming || !isRecent || now < nextSendAt) return
         nextSendAt = now + SEND_INTERVAL
         val message = ConfigurationConfirmation(revision, (now - validAt).inWholeMilliseconds)
         peers().forEach { send(it.address, message) }
@@ -98,17 +98,16 @@
     fun tick() {
         val now = checkForPause()
         tracker.recordTick(now)
-        if (!isUsed) return
         val wasConfirming = isConfirming
         checkRole(now)
         val begins = isConfirming && !wasConfirming
-        if (begins || isOld(now)) query(now)
+        if (isUsed && (begins || isOld(now))) query(now)
     }
 
     private fun checkRole(now: Timestamp) {
         if (now < nextRoleCheckAt) return
         nextRoleCheckAt = now + ROLE_CHECK_INTERVAL
-        isConfirming = ConfirmingInstances.contains(self, serving())
+        isConfirming = isUsed && ConfirmingInstances.contains(self, serving())
     }
 
     private fun query(now: Timestamp) {
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/WorkspaceKeysTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/WorkspaceKeysTest.kt
@@ -65,7 +65,11 @@
         revocationTime = revocationTime,
     ).also { resources += it }
 
-    private fun InstanceFixture.send(key: String?, target: String = "/safe/x", headers: String = ""): ReceivedResponse? {
+    private fun InstanceFixture.send(
+        key: String?,
+        target: String = "/safe/x",
+        headers: String = "",
+    ): ReceivedResponse? {
         calls += 1
         return call(target, "r$calls", headers = headers + key?.let { "key: $it\r\n" }.orEmpty())
     }
