Compute what dispatch decisions have in common once for each pass

Each event ordered all waiting requests with a comparator that visited every server, and checked for each request whether a server could still take it: about 200,000 visits for 300 requests and 40 servers. Medians, the health of stages and the servers that may run a request are now computed once for a pass, hopeless requests are refused at ticks, when they arrive or when servers lose chances, and a pass ends when no server has capacity.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -37,6 +37,18 @@
 
 /** Selects places for the requests of one kind of pool. */
 internal sealed class PlaceSelection(protected val trackedServers: Map<BackendServerId, TrackedServer>) {
+    /** Values of the servers for the current pass. */
+    var snapshot: PoolSnapshot = PoolSnapshot(trackedServers, Timestamp(0))
+        private set
+
+    /** Starts a pass at [now]; values of the servers that were computed before are no longer used. */
+    fun beginPass(now: Timestamp) {
+        snapshot = PoolSnapshot(trackedServers, now)
+    }
+
+    /** Returns whether any server has capacity for any of [entries] at [now]; may be true although none is placed. */
+    abstract fun hasRoomForAny(entries: Collection<WaitingRequest>, now: Timestamp): Boolean
+
     /**
      * Returns the places for [entry], or null when no capacity is available yet. Servers of [reservedVersions] are
      * left to requests that are ahead of it.
@@ -77,14 +89,6 @@
         return 1.seconds / perSecond
     }
 
-    protected fun medianTimePerUnit(stages: Set<ServerStage>): Duration? {
-        val known = trackedServers.values
-            .filter { it.server.stage in stages }
-            .mapNotNull { it.speed.timePerUnit }
-            .sorted()
-        return known.getOrNull(known.size / 2)
-    }
-
     /**
      * Returns the servers that may take [entry] at [now]: neither excluded nor of [reservedVersions], not paused for
      * its holder, and healthy. Their capacity and request limits are not considered.
@@ -94,8 +98,7 @@
         reservedVersions: Set<SoftwareVersion>,
         now: Timestamp,
     ): List<TrackedServer> {
-        val stages = trackedServers.values.groupBy { it.server.stage }
-            .mapValues { (stage, servers) -> StageHealth(stage, servers, entry, now) }
+        val stages = snapshot.healthOf(entry)
         return trackedServers.values
             .filter { entry.accepts(it.server) && it.server.version !in reservedVersions }
             .filter { it.pausedUntil(entry.holder, now) == null }
@@ -111,7 +114,7 @@
  * servers are exempt from this, because decode servers can process prompts in their place; so are servers that other
  * instances reach.
  */
-private class StageHealth(
+internal class StageHealth(
     private val stage: ServerStage,
     private val servers: List<TrackedServer>,
     private val entry: WaitingRequest,
@@ -149,12 +152,20 @@
     override fun place(entry: WaitingRequest, reservedVersions: Set<SoftwareVersion>, now: Timestamp): PlacedRequest? {
         val medianTime = medianCallTime()
         return eligibleServers(entry, reservedVersions, now)
-            .filter { it.places.size < it.server.slots + IN_FLIGHT_CALLS }
-            .filter { now >= it.fullUntil && it.limit.admits(now) && !isStalled(it, medianTime, now) }
+            .filter { hasRoom(it, medianTime, now) }
             .minByOrNull { costMillis(it, entry, medianTime, now) }
             ?.let { PlacedRequest(PlannedPlace(it)) }
     }
 
+    override fun hasRoomForAny(entries: Collection<WaitingRequest>, now: Timestamp): Boolean {
+        val medianTime = medianCallTime()
+        return trackedServers.values.any { hasRoom(it, medianTime, now) }
+    }
+
+    private fun hasRoom(tracked: TrackedServer, medianTime: Duration, now: Timestamp): Boolean =
+        tracked.places.size < tracked.server.slots + IN_FLIGHT_CALLS && now >= tracked.fullUntil &&
+            tracked.limit.admits(now) && !isStalled(tracked, medianTime, now)
+
     private fun costMillis(
         tracked: TrackedServer,
         entry: WaitingRequest,
@@ -187,7 +198,7 @@
         return intervalOf(trackedServers.values.sumOf { it.limit.restrict(it.server.slots * callsPerSlot) })
     }
 
-    private fun medianCallTime(): Duration = medianTimePerUnit(setOf(ServerStage.WHOLE)) ?: DEFAULT_CALL_TIME
+    private fun medianCallTime(): Duration = snapshot.medianTimePerUnit(ServerStage.WHOLE) ?: DEFAULT_CALL_TIME
 
     private companion object {
         /** Calls sent to a server beyond its slots, so that the next call is in transit when a slot becomes free. */
@@ -223,11 +234,18 @@
         val work = entry.work as? DispatchWork.Generation ?: return null
         val (prefillServers, decodeServers) =
             eligibleServers(entry, reservedVersions, now).partition { it.server.stage == ServerStage.PREFILL }
-        val decode = decodeServers.filter { hasRoom(it, work, now) }
+        val decode = decodeServers.filter { hasRoom(it, reservedTokens(work), now) }
         return placeWithPrefill(decode, prefillServers, entry, work, now)
             ?: placeDirectly(decode, prefillServers.map { it.server.version }.toSet(), entry, work, now)
     }
 
+    override fun hasRoomForAny(entries: Collection<WaitingRequest>, now: Timestamp): Boolean {
+        val smallest = entries.minOfOrNull { (it.work as? DispatchWork.Generation)?.let(::reservedTokens) ?: 0 } ?: 0
+        val open = snapshot.runServers.filter { hasRoom(it, smallest, now) }
+        return open.any { it.directPrefills(now) < MAXIMUM_DIRECT_PREFILLS } ||
+            open.isNotEmpty() && snapshot.prefillServers.any { hasPrefillCapacity(it, now) }
+    }
+
     /** Places the prefill at the version of the run, because versions cannot read each other's key-value caches. */
     private fun placeWithPrefill(
         decode: List<TrackedServer>,
@@ -276,11 +294,11 @@
     private fun reservedTokens(work: DispatchWork.Generation): Int =
         work.promptTokens + (work.outputTokens * AVERAGE_OUTPUT_SHARE).toInt()
 
-    private fun hasRoom(tracked: TrackedServer, work: DispatchWork.Generation, now: Timestamp): Boolean {
+    private fun hasRoom(tracked: TrackedServer, tokens: Int, now: Timestamp): Boolean {
         val used = tracked.usedTokens
         return now >= maxOf(tracked.fullUntil, tracked.stageSwitchUntil) && tracked.limit.admits(now) &&
             tracked.places.size < engine.slots &&
-            (used == 0 || used + reservedTokens(work) <= engine.memoryTokens * USABLE_MEMORY_SHARE)
+            (used == 0 || used + tokens <= engine.memoryTokens * USABLE_MEMORY_SHARE)
     }
 
     private fun hasPrefillCapacity(tracked: TrackedServer, now: Timestamp): Boolean =
@@ -318,7 +336,7 @@
     }
 
     override fun minimumTimeToFirstEvent(entry: WaitingRequest, now: Timestamp): Duration =
-        if (hasPrefillServer(entry)) prefillTime(entry) else directPrefillTime(entry)
+        if (snapshot.hasPrefillServer(entry)) prefillTime(entry) else directPrefillTime(entry)
 
     /** The whole run must fit, because an incomplete stream is of no use to its caller. */
     override fun minimumDuration(entry: WaitingRequest, now: Timestamp): Duration =
@@ -330,7 +348,8 @@
     /** The bottleneck is either the prefill capacity or the memory of the decode servers. */
     override fun timePerRequest(entry: WaitingRequest): Duration {
         val work = entry.work as? DispatchWork.Generation ?: return Duration.ZERO
-        val (prefill, decode) = trackedServers.values.partition { it.server.stage == ServerStage.PREFILL }
+        val prefill = snapshot.prefillServers
+        val decode = snapshot.runServers
         val prefillPerSecond = prefill.sumOf { it.limit.restrict(1.seconds / prefillTime(entry)) }
         // Decode servers also prefill prompts that wait because of the limits of all prefill servers.
         val decodePrefills = if (prefill.all { it.limit.perSecond != null }) decode else emptyList()
@@ -368,9 +387,6 @@
     private fun mayChangeStage(tracked: TrackedServer): Boolean =
         tracked.health.isReachable && tracked.limit.perSecond == null
 
-    private fun hasPrefillServer(entry: WaitingRequest): Boolean =
-        trackedServers.values.any { it.server.stage == ServerStage.PREFILL && entry.accepts(it.server) }
-
     private fun directPrefillTime(entry: WaitingRequest): Duration = prefillTime(entry) * DIRECT_PREFILL_FACTOR
 
     private fun prefillTime(entry: WaitingRequest): Duration {
@@ -379,7 +395,7 @@
     }
 
     private fun medianPromptTokenTime(): Duration =
-        medianTimePerUnit(setOf(ServerStage.PREFILL)) ?: DEFAULT_PROMPT_TOKEN_TIME
+        snapshot.medianTimePerUnit(ServerStage.PREFILL) ?: DEFAULT_PROMPT_TOKEN_TIME
 
     private companion object {
         /** Prompts assigned to a prefill server at a time: the current one and one that follows without idle time. */
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -11,7 +11,6 @@
 
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.EngineProfile
-import org.arbutusnotch.core.forwarding.ServerStage
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.InstanceId
@@ -74,6 +73,10 @@
     public val limitedServers: Int
         get() = trackedServers.values.count { it.limit.perSecond != null }
 
+    /** Number of visits of servers by decisions so far, which is most of the cost of dispatching. */
+    public val serverVisits: Long
+        get() = trackedServers.values.sumOf { it.reads }
+
     /** Returns the number of retries that the retry budget still allows at [now]. */
     public fun availableRetries(now: Timestamp): Int = budget.availableRetries(now)
 
@@ -125,6 +128,7 @@
             placesKnownAt = now + REPORT_ROUND
             budget.startRampUp(now)
         }
+        selection.beginPass(now)
         val refusal = refusalReason(request, entry, now)
         if (refusal != null) return listOf(entry.refused(refusal, now))
         waiting[request.ticket] = entry
@@ -152,7 +156,8 @@
         if (place != null && release.outcome == PlaceOutcome.COMPLETED) {
             selection.observe(tracked, place, release, now)
         }
-        return dispatchWaiting(now)
+        val mayEndChances = release.limit != null || release.outcome !in OUTCOMES_OF_HEALTHY_SERVERS
+        return dispatchWaiting(now, refusesHopeless = mayEndChances)
     }
 
     private fun recordHealth(tracked: TrackedServer, release: DispatchRelease, place: UsedPlace?, now: Timestamp) {
@@ -207,6 +212,7 @@
      */
     public fun beginStageChange(switchTime: Duration, now: Timestamp): StageChange? {
         if (now < nextStageChangeAt) return null
+        selection.beginPass(now)
         val change = selection.stageChange(demand) ?: return null
         nextStageChangeAt = now + switchTime + STAGE_CHANGE_MARGIN
         trackedServers[change.server.id]?.stageSwitchUntil = nextStageChangeAt
@@ -221,13 +227,13 @@
         now: Timestamp,
     ): List<DispatchDecision> {
         trackedServers[server]?.pauseFor(holder, until)
-        return dispatchWaiting(now)
+        return dispatchWaiting(now, refusesHopeless = true)
     }
 
     /** Applies what a server said about its request limit, and returns the decisions that follow from it. */
     public fun updateLimit(report: LimitReport, now: Timestamp): List<DispatchDecision> {
         applyLimit(report, now)
-        return dispatchWaiting(now)
+        return dispatchWaiting(now, refusesHopeless = true)
     }
 
     private fun applyLimit(report: LimitReport, now: Timestamp) {
@@ -249,7 +255,7 @@
         recentGrants.values.removeIf { it.expiresAt <= now }
         recentHolders.values.removeIf { it <= now }
         waiting.values.removeIf { it.expiresAt <= now }
-        return dispatchWaiting(now)
+        return dispatchWaiting(now, refusesHopeless = true)
     }
 
     private fun refusalReason(request: DispatchRequest, entry: WaitingRequest, now: Timestamp): DispatchRefusal? {
@@ -270,48 +276,27 @@
 
     /** Returns the reason why no server of the pool can take [entry] in time after [ahead] other requests, or null. */
     private fun noServerReason(entry: WaitingRequest, ahead: Int, now: Timestamp): DispatchRefusal? {
-        val servers = runServers(entry)
+        val options = selection.snapshot.optionsOf(entry)
         val latest = maxOf(now, entry.startDeadline)
         return when {
-            isCutOff(entry, now) -> DispatchRefusal.SERVERS_UNREACHABLE
+            options.isCutOff -> DispatchRefusal.SERVERS_UNREACHABLE
 
             // Another server may change its stage for a new request; for a continuation that takes too long.
-            servers.isEmpty() && (entry.version != null || trackedServers.keys.all { it in entry.excluded }) ->
+            options.servers.isEmpty() && (entry.version != null || options.areAllExcluded) ->
                 DispatchRefusal.NO_SERVER
 
-            earliestUnpaused(servers, entry, now) > latest -> DispatchRefusal.SERVERS_PAUSED
+            options.earliestUnpaused > latest -> DispatchRefusal.SERVERS_PAUSED
 
-            now + limitedWait(servers, ahead, now) > latest -> DispatchRefusal.SERVERS_LIMITED
+            now + limitedWait(options.servers, ahead, now) > latest -> DispatchRefusal.SERVERS_LIMITED
 
             else -> null
         }
     }
 
-    /**
-     * Returns whether the holder of [entry] reaches none of the servers that could run it while other instances reach
-     * some, and none is due to be tried again.
-     */
-    private fun isCutOff(entry: WaitingRequest, now: Timestamp): Boolean {
-        val holder = entry.holder.address
-        val candidates = runServers(entry.copy(excluded = emptySet()))
-        return candidates.any { it.health.isPathDown(holder) } && candidates.all { it.health.isPathFaulty(holder) } &&
-            candidates.none {
-                it.server.id !in entry.excluded && it.health.mayTryPath(holder, now) && it.mayProbe(holder)
-            }
-    }
-
-    /** Returns the servers that could run [entry], regardless of their pauses and load. */
-    private fun runServers(entry: WaitingRequest): List<TrackedServer> =
-        trackedServers.values.filter { it.server.stage != ServerStage.PREFILL && entry.accepts(it.server) }
-
-    /** Returns the earliest time at which one of [servers] is not paused for the holder of [entry]. */
-    private fun earliestUnpaused(servers: List<TrackedServer>, entry: WaitingRequest, now: Timestamp): Timestamp =
-        servers.minOfOrNull { it.pausedUntil(entry.holder, now) ?: now } ?: now
-
     /** Returns the time until the request limits of [servers] admit a request after [ahead] others. */
     private fun limitedWait(servers: List<TrackedServer>, ahead: Int, now: Timestamp): Duration {
-        val next = servers.minOfOrNull { it.limit.waitingTime(now) } ?: return Duration.ZERO
         val perSecond = servers.sumOf { it.limit.perSecond ?: return Duration.ZERO }
+        val next = servers.minOfOrNull { it.limit.waitingTime(now) } ?: return Duration.ZERO
         return maxOf(next, ((ahead + 1 - servers.sumOf { it.limit.credit(now) }) / perSecond).seconds)
     }
 
@@ -321,17 +306,26 @@
             now + wait + selection.minimumDuration(entry, now) >= entry.deadlineAt
     }
 
-    private fun dispatchWaiting(now: Timestamp): List<DispatchDecision> {
+    /**
+     * Refuses the waiting requests that have no chance any more if [refusesHopeless], and grants the others in order
+     * while servers have capacity. A request that waits in vain is not granted in any case; refusing it takes a visit
+     * of the whole queue, for which the next tick is soon enough.
+     */
+    private fun dispatchWaiting(now: Timestamp, refusesHopeless: Boolean = false): List<DispatchDecision> {
         if (waiting.isEmpty()) return emptyList()
+        selection.beginPass(now)
         val decisions = mutableListOf<DispatchDecision>()
-        waiting.values.toList().forEach { entry ->
-            val overloaded = DispatchRefusal.OVERLOADED.takeIf { missesDeadline(entry, ahead = 0, now) }
-            val refusal = noServerReason(entry, ahead = 0, now) ?: overloaded ?: return@forEach
-            waiting.remove(entry.ticket)
-            decisions += entry.refused(refusal, now)
-        }
+        if (refusesHopeless) waiting.values.toList().mapNotNullTo(decisions) { refuseIfHopeless(it, now) }
+        if (!selection.hasRoomForAny(waiting.values, now)) return decisions
         val reservedVersions = mutableSetOf<SoftwareVersion>()
-        for (entry in inDispatchOrder(now)) {
+        val queue = DispatchOrder.queueOf(DispatchOrder.rank(waiting.values, selection, now))
+        while (queue.isNotEmpty()) {
+            val entry = queue.poll().entry
+            val refused = refuseIfHopeless(entry, now)
+            if (refused != null) {
+                decisions += refused
+                continue
+            }
             val places = place(entry, reservedVersions, now)
             if (places != null) {
                 waiting.remove(entry.ticket)
@@ -344,6 +338,14 @@
         return decisions
     }
 
+    /** Refuses [entry] if no server can take it in time, even if no other request is ahead of it. */
+    private fun refuseIfHopeless(entry: WaitingRequest, now: Timestamp): DispatchDecision.Refused? {
+        val overloaded = DispatchRefusal.OVERLOADED.takeIf { missesDeadline(entry, ahead = 0, now) }
+        val refusal = noServerReason(entry, ahead = 0, now) ?: overloaded ?: return null
+        waiting.remove(entry.ticket)
+        return entry.refused(refusal, now)
+    }
+
     /**
      * Places [entry] unless it must wait. Generations wait until the places in use are known, because a server without
      * memory for a run rejects it only after the prompt has been prefilled.
@@ -353,19 +355,6 @@
         return if (mustWait) null else selection.place(entry, reservedVersions, now)
     }
 
-    /**
-     * Returns the waiting requests in the order in which they get places. Started streams come first: when their
-     * callers disconnect, all work spent on them is lost. Requests that can meet their objective come before late ones,
-     * each group by priority and objective. A long run is ordered as if its objective were later, because several short
-     * runs can be served in its time while places are scarce.
-     */
-    private fun inDispatchOrder(now: Timestamp): List<WaitingRequest> = waiting.values.sortedWith(
-        compareBy<WaitingRequest> { !it.begun }
-            .thenBy { now + selection.expectedTimeToFirstEvent(it, now) > it.objectiveAt }
-            .thenBy { it.priority }
-            .thenBy { it.objectiveAt + selection.expectedRunTime(it) * RUN_TIME_WEIGHT },
-    )
-
     private fun grant(entry: WaitingRequest, places: PlacedRequest, now: Timestamp): DispatchDecision {
         places.prefill?.let { occupy(it, entry, PlacePart.PREFILL, now) }
         occupy(places.run, entry, PlacePart.RUN, now)
@@ -396,9 +385,9 @@
 
     private fun WaitingRequest.refused(reason: DispatchRefusal, now: Timestamp): DispatchDecision.Refused {
         val wait = when (reason) {
-            DispatchRefusal.SERVERS_PAUSED -> earliestUnpaused(runServers(this), this, now) - now
+            DispatchRefusal.SERVERS_PAUSED -> selection.snapshot.optionsOf(this).earliestUnpaused - now
 
-            DispatchRefusal.SERVERS_LIMITED -> limitedWait(runServers(this), waiting.size, now)
+            DispatchRefusal.SERVERS_LIMITED -> limitedWait(selection.snapshot.optionsOf(this).servers, waiting.size, now)
 
             // Another instance, to which the caller may turn, reaches the servers.
             DispatchRefusal.SERVERS_UNREACHABLE -> MINIMUM_RETRY_DELAY
@@ -442,12 +431,12 @@
         /** Outcomes in which the server has answered. */
         val ANSWERED_OUTCOMES = setOf(PlaceOutcome.COMPLETED, PlaceOutcome.SERVER_FAILED, PlaceOutcome.NOT_RUN)
 
+        /** Outcomes after which no waiting request has fewer chances than before. */
+        val OUTCOMES_OF_HEALTHY_SERVERS = setOf(PlaceOutcome.COMPLETED, PlaceOutcome.UNUSED, PlaceOutcome.NOT_RUN)
+
         /** Weight of one run in the average time per output token; estimates for single runs are often far off. */
         const val OUTPUT_SPEED_WEIGHT = 0.05
 
-        /** Share of the expected run time that is added to the objective; long runs still pass after about a second. */
-        const val RUN_TIME_WEIGHT = 0.1
-
         /** Minimum delay after which a refused request may be retried. */
         val MINIMUM_RETRY_DELAY = 200.milliseconds
     }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
@@ -80,6 +80,10 @@
         }
     }
 
+    /** Whether the path of any instance to the server is faulty. */
+    val hasFaultyPaths: Boolean
+        get() = faultyPaths.isNotEmpty()
+
     /** Whether the latest request of [holder] did not reach the server or got no answer. */
     fun isPathFaulty(holder: InstanceAddress): Boolean = holder in faultyPaths
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
@@ -36,7 +36,16 @@
 )
 
 /** Tracks [server]; its request limit is used up to [requestShare]. */
-internal class TrackedServer(var server: BackendServer, requestShare: Double) {
+internal class TrackedServer(server: BackendServer, requestShare: Double) {
+    /** Number of reads of [server], which measures how often the dispatcher visits this server. */
+    var reads = 0L
+        private set
+
+    var server: BackendServer = server
+        get() {
+            reads += 1
+            return field
+        }
     val places = LinkedHashMap<PlaceKey, UsedPlace>()
     val health = ServerHealth()
     val limit = RequestLimit(requestShare)
@@ -76,6 +85,10 @@
 
     private val pausedUntil = HashMap<InstanceAddress, Timestamp>()
 
+    /** Whether the server may be paused for some instance. */
+    val isPaused: Boolean
+        get() = pausedUntil.isNotEmpty()
+
     /** Records that the server has asked for no requests of [holder] before [until]. */
     fun pauseFor(holder: InstanceId, until: Timestamp) {
         pausedUntil.merge(holder.address, until, ::maxOf)
