Place runs by the speed of each decode server

A run on a slow server holds its memory longer, and a long one there often does not end before its caller gives up. Each decode server now has an average time per expected output token of its completed runs. It counts in the load score, more for long outputs, and a run that would not end in time on a slow server waits for another one while requests behind it may use the slow server. Nothing changes until the times of two servers are known.

--- /dev/null
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/DispatchPolicy.kt
@@ -0,0 +1,11 @@
+/*
+ * The decisions of a dispatcher that apply while its pool has too little capacity.
+ */
+package org.arbutusnotch.core.dispatch
+
+/**
+ * Selects how a dispatcher decides while its pool has too little capacity.
+ *
+ * @property usesServerSpeeds whether runs are placed by the observed speed of each decode server
+ */
+public data class DispatchPolicy(public val usesServerSpeeds: Boolean = true)
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -50,17 +50,23 @@
     abstract fun hasRoomForAny(entries: Collection<WaitingRequest>, now: Timestamp): Boolean
 
     /**
-     * Returns the places for [entry], or null when no capacity is available yet. Servers of [reservedVersions] are
-     * left to requests that are ahead of it.
+     * Returns the places for [entry], or null when no capacity is available yet. [reservations] leave some servers to
+     * requests that are ahead of it.
      */
-    abstract fun place(entry: WaitingRequest, reservedVersions: Set<SoftwareVersion>, now: Timestamp): PlacedRequest?
+    abstract fun place(entry: WaitingRequest, reservations: Reservations, now: Timestamp): PlacedRequest?
 
     /**
      * Returns whether a server may run [entry] once it has capacity. A request that no server may take, as one of an
      * instance that reaches none, does not hold up those behind it.
      */
-    fun hasEligibleServer(entry: WaitingRequest, reservedVersions: Set<SoftwareVersion>, now: Timestamp): Boolean =
-        eligibleServers(entry, reservedVersions, now).any { it.server.stage != ServerStage.PREFILL }
+    fun hasEligibleServer(entry: WaitingRequest, reservations: Reservations, now: Timestamp): Boolean =
+        eligibleServers(entry, reservations, now).any { it.server.stage != ServerStage.PREFILL }
+
+    /**
+     * Returns the servers on which [entry] would not end in time because they are slow, if it would on others; it does
+     * not use them while it waits for one of the others.
+     */
+    open fun tooSlowServers(entry: WaitingRequest, now: Timestamp): Set<BackendServerId> = emptySet()
 
     /** Updates the speed estimates with the completed use of [place]. */
     abstract fun observe(tracked: TrackedServer, place: UsedPlace, release: DispatchRelease, now: Timestamp)
@@ -90,17 +96,17 @@
     }
 
     /**
-     * Returns the servers that may take [entry] at [now]: neither excluded nor of [reservedVersions], not paused for
+     * Returns the servers that may take [entry] at [now]: neither excluded nor left to others by [reservations], not paused for
      * its holder, and healthy. Their capacity and request limits are not considered.
      */
     protected fun eligibleServers(
         entry: WaitingRequest,
-        reservedVersions: Set<SoftwareVersion>,
+        reservations: Reservations,
         now: Timestamp,
     ): List<TrackedServer> {
         val stages = snapshot.healthOf(entry)
         return trackedServers.values
-            .filter { entry.accepts(it.server) && it.server.version !in reservedVersions }
+            .filter { entry.accepts(it.server) && reservations.admits(it.server) }
             .filter { it.pausedUntil(entry.holder, now) == null }
             .filter { stages.getValue(it.server.stage).admits(it) }
     }
@@ -149,9 +155,9 @@
 
 /** Places plain calls on the server with the lowest expected latency, at most one call beyond its slots. */
 internal class CallPlaceSelection(servers: Map<BackendServerId, TrackedServer>) : PlaceSelection(servers) {
-    override fun place(entry: WaitingRequest, reservedVersions: Set<SoftwareVersion>, now: Timestamp): PlacedRequest? {
+    override fun place(entry: WaitingRequest, reservations: Reservations, now: Timestamp): PlacedRequest? {
         val medianTime = medianCallTime()
-        return eligibleServers(entry, reservedVersions, now)
+        return eligibleServers(entry, reservations, now)
             .filter { hasRoom(it, medianTime, now) }
             .minByOrNull { costMillis(it, entry, medianTime, now) }
             ?.let { PlacedRequest(PlannedPlace(it)) }
@@ -229,12 +235,14 @@
     trackedServers: Map<BackendServerId, TrackedServer>,
     private val engine: EngineProfile,
     private val outputSpeed: SpeedEstimate,
+    private val policy: DispatchPolicy,
 ) : PlaceSelection(trackedServers) {
-    override fun place(entry: WaitingRequest, reservedVersions: Set<SoftwareVersion>, now: Timestamp): PlacedRequest? {
+    override fun place(entry: WaitingRequest, reservations: Reservations, now: Timestamp): PlacedRequest? {
         val work = entry.work as? DispatchWork.Generation ?: return null
         val (prefillServers, decodeServers) =
-            eligibleServers(entry, reservedVersions, now).partition { it.server.stage == ServerStage.PREFILL }
-        val decode = decodeServers.filter { hasRoom(it, reservedTokens(work), now) }
+            eligibleServers(entry, reservations, now).partition { it.server.stage == ServerStage.PREFILL }
+        val tooSlow = tooSlowServers(entry, now)
+        val decode = decodeServers.filter { hasRoom(it, reservedTokens(work), now) && it.server.id !in tooSlow }
         return placeWithPrefill(decode, prefillServers, entry, work, now)
             ?: placeDirectly(decode, prefillServers.map { it.server.version }.toSet(), entry, work, now)
     }
@@ -308,14 +316,34 @@
     private fun queuedPrefillTime(tracked: TrackedServer, work: DispatchWork.Generation, now: Timestamp): Duration =
         tracked.timePerUnit(medianPromptTokenTime(), now) * (tracked.queuedPromptTokens + work.promptTokens)
 
+    /** Rates the load of a server; a run on a slow server takes longer, all the more if its output is long. */
     private fun loadScore(tracked: TrackedServer, entry: WaitingRequest, now: Timestamp): Double {
         val penalty = if (tracked.server.failureDomain == entry.domain) 0.0 else CROSS_DOMAIN_LOAD_SHARE
-        return tracked.usedTokens.toDouble() / engine.memoryTokens * tracked.slowdown(now) + penalty
+        val relativeTime = relativeTime(tracked)
+        val slowness = maxOf(tracked.slowdown(now), relativeTime)
+        val extraRunTime = expectedRunTime(entry) * (relativeTime - 1.0)
+        return tracked.usedTokens.toDouble() / engine.memoryTokens * slowness + penalty +
+            extraRunTime / 1.seconds * LOAD_SHARE_PER_EXTRA_SECOND
+    }
+
+    private fun relativeTime(tracked: TrackedServer): Double =
+        if (policy.usesServerSpeeds) snapshot.relativeTimes[tracked] ?: 1.0 else 1.0
+
+    override fun tooSlowServers(entry: WaitingRequest, now: Timestamp): Set<BackendServerId> {
+        if (!policy.usesServerSpeeds || snapshot.relativeTimes.values.none { it >= SLOW_RELATIVE_TIME }) return emptySet()
+        val timeLeft = entry.deadlineAt - now - minimumTimeToFirstEvent(entry, now)
+        val runTime = expectedRunTime(entry)
+        val (tooSlow, others) = snapshot.optionsOf(entry).servers.partition {
+            val relativeTime = relativeTime(it)
+            relativeTime >= SLOW_RELATIVE_TIME && runTime * relativeTime > timeLeft
+        }
+        val othersSuffice = others.any { runTime * relativeTime(it) * MINIMUM_RUN_SHARE <= timeLeft }
+        return if (othersSuffice) tooSlow.mapTo(HashSet()) { it.server.id } else emptySet()
     }
 
     override fun observe(tracked: TrackedServer, place: UsedPlace, release: DispatchRelease, now: Timestamp) {
         if (release.part == PlacePart.RUN) {
-            observeRun(place, release, now)
+            observeRun(tracked, place, release, now)
             return
         }
         val tokens = place.queuedPromptTokens + place.tokens + PREFILL_OVERHEAD_TOKENS
@@ -323,11 +351,12 @@
         tracked.speed.observe(units = tokens.toDouble(), elapsed = elapsed, count = 1, now = now)
     }
 
-    private fun observeRun(place: UsedPlace, release: DispatchRelease, now: Timestamp) {
+    private fun observeRun(tracked: TrackedServer, place: UsedPlace, release: DispatchRelease, now: Timestamp) {
         if (place.outputTokens == 0) return
         val prefillDuration = place.directPrefillUntil?.let { it - place.grantedAt } ?: Duration.ZERO
         val elapsed = (release.elapsedMillis.milliseconds - prefillDuration).coerceAtLeast(Duration.ZERO)
         outputSpeed.observe(units = place.outputTokens.toDouble(), elapsed = elapsed, count = 1, now = now)
+        tracked.outputTime.observe(place.outputTokens, elapsed, now)
     }
 
     override fun expectedRunTime(entry: WaitingRequest): Duration {
@@ -425,6 +454,12 @@
         /** Difference in load, as a share of memory, above which a server in another failure domain is preferred. */
         const val CROSS_DOMAIN_LOAD_SHARE = 0.05
 
+        /** Time per output token, relative to the median, from which a server counts as slow. */
+        const val SLOW_RELATIVE_TIME = 1.25
+
+        /** Difference in load, as a share of memory, that outweighs a run that takes a second longer. */
+        const val LOAD_SHARE_PER_EXTRA_SECOND = 0.05
+
         /** Fixed cost of a prefill, expressed in prompt tokens. */
         const val PREFILL_OVERHEAD_TOKENS = 200
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -14,7 +14,6 @@
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.id.InstanceId
-import org.arbutusnotch.core.id.SoftwareVersion
 import org.arbutusnotch.core.id.TicketId
 import org.arbutusnotch.core.message.DispatchRefusal
 import org.arbutusnotch.core.message.DispatchRelease
@@ -33,7 +32,10 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Queues, places and refuses the requests of one pool. */
-public class PoolDispatcher(private val budget: RetryBudget) {
+public class PoolDispatcher(
+    private val budget: RetryBudget,
+    private val policy: DispatchPolicy = DispatchPolicy(),
+) {
     private val trackedServers = LinkedHashMap<BackendServerId, TrackedServer>()
     private val waiting = LinkedHashMap<TicketId, WaitingRequest>()
     private val recentGrants = LinkedHashMap<TicketId, RecentGrant>()
@@ -97,7 +99,7 @@
             if (engine == null) {
                 CallPlaceSelection(trackedServers)
             } else {
-                GenerationPlaceSelection(trackedServers, engine, outputSpeed)
+                GenerationPlaceSelection(trackedServers, engine, outputSpeed, policy)
             }
         val listed = servers.associateBy { it.id }
         trackedServers.keys.retainAll(listed.keys)
@@ -317,7 +319,7 @@
         val decisions = mutableListOf<DispatchDecision>()
         if (refusesHopeless) waiting.values.toList().mapNotNullTo(decisions) { refuseIfHopeless(it, now) }
         if (!selection.hasRoomForAny(waiting.values, now)) return decisions
-        val reservedVersions = mutableSetOf<SoftwareVersion>()
+        val reservations = Reservations()
         val queue = DispatchOrder.queueOf(DispatchOrder.rank(waiting.values, selection, now))
         while (queue.isNotEmpty()) {
             val entry = queue.poll().entry
@@ -326,18 +328,26 @@
                 decisions += refused
                 continue
             }
-            val places = place(entry, reservedVersions, now)
+            val places = place(entry, reservations, now)
             if (places != null) {
                 waiting.remove(entry.ticket)
                 decisions += grant(entry, places, now)
-            } else if (selection.hasEligibleServer(entry, reservedVersions, now)) {
-                // A request that needs a version waits for that version alone; those behind it may use the others.
-                reservedVersions += entry.version ?: break
+            } else if (selection.hasEligibleServer(entry, reservations, now) && !reserve(entry, reservations, now)) {
+                break
             }
         }
         return decisions
     }
 
+    /** Leaves the servers for which [entry] waits to it; returns whether requests behind it may use others. */
+    private fun reserve(entry: WaitingRequest, reservations: Reservations, now: Timestamp): Boolean {
+        if (entry.version != null) {
+            reservations.reserveVersion(entry.version)
+            return true
+        }
+        return reservations.openOnly(selection.tooSlowServers(entry, now)) && selection.hasRoomForAny(waiting.values, now)
+    }
+
     /** Refuses [entry] if no server can take it in time, even if no other request is ahead of it. */
     private fun refuseIfHopeless(entry: WaitingRequest, now: Timestamp): DispatchDecision.Refused? {
         val overloaded = DispatchRefusal.OVERLOADED.takeIf { missesDeadline(entry, ahead = 0, now) }
@@ -350,9 +360,9 @@
      * Places [entry] unless it must wait. Generations wait until the places in use are known, because a server without
      * memory for a run rejects it only after the prompt has been prefilled.
      */
-    private fun place(entry: WaitingRequest, reservedVersions: Set<SoftwareVersion>, now: Timestamp): PlacedRequest? {
+    private fun place(entry: WaitingRequest, reservations: Reservations, now: Timestamp): PlacedRequest? {
         val mustWait = entry.work is DispatchWork.Generation && now < placesKnownAt
-        return if (mustWait) null else selection.place(entry, reservedVersions, now)
+        return if (mustWait) null else selection.place(entry, reservations, now)
     }
 
     private fun grant(entry: WaitingRequest, places: PlacedRequest, now: Timestamp): DispatchDecision {
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolSnapshot.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolSnapshot.kt
@@ -33,6 +33,9 @@
         trackedServers.values.filter { it.server.stage != ServerStage.PREFILL }
     }
 
+    /** Time per output token of the servers that run requests, relative to their median; empty until it is known. */
+    val relativeTimes: Map<TrackedServer, Double> by unsynchronized { OutputTime.relativeTimes(runServers) }
+
     /** Whether the answer to which servers may get a request depends on the instance that holds it. */
     private val dependsOnHolder: Boolean by unsynchronized {
         runServers.any { it.isPaused || it.health.hasFaultyPaths }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
@@ -52,6 +52,9 @@
 
     /** Time per call, or per prompt token, without the slowdown that the server reported. */
     val speed = SpeedEstimate(SPEED_WEIGHT)
+
+    /** Time per expected output token of its runs. */
+    val outputTime = OutputTime()
     private var slowdownPercent = NORMAL_PERCENT
     private var slowdownUntil = Timestamp(0)
 
