Share too small a capacity between workspaces, routes and failure domains

While some waiting requests would be late in the usual order, FairOrder postpones requests of the workspace that has had most service within the last seconds, there of the route and then of the failure domain. The others keep their order, and nothing changes while all can be on time or all are of one kind. The gauge arbutusnotch_dispatch_postponed counts the postponed requests.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/DispatchPolicy.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/DispatchPolicy.kt
@@ -7,5 +7,9 @@
  * Selects how a dispatcher decides while its pool has too little capacity.
  *
  * @property usesServerSpeeds whether runs are placed by the observed speed of each decode server
+ * @property sharesFairly whether workspaces, routes and failure domains share the capacity if it is too small for all
  */
-public data class DispatchPolicy(public val usesServerSpeeds: Boolean = true)
+public data class DispatchPolicy(
+    public val usesServerSpeeds: Boolean = true,
+    public val sharesFairly: Boolean = true,
+)
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -377,16 +377,17 @@
     /** The bottleneck is either the prefill capacity or the memory of the decode servers. */
     override fun timePerRequest(entry: WaitingRequest): Duration {
         val work = entry.work as? DispatchWork.Generation ?: return Duration.ZERO
-        val prefill = snapshot.prefillServers
-        val decode = snapshot.runServers
-        val prefillPerSecond = prefill.sumOf { it.limit.restrict(1.seconds / prefillTime(entry)) }
+        val prefillPerSecond = snapshot.prefillLimits.restrict(1.seconds / prefillTime(entry))
         // Decode servers also prefill prompts that wait because of the limits of all prefill servers.
-        val decodePrefills = if (prefill.all { it.limit.perSecond != null }) decode else emptyList()
-        val directPerSecond = decodePrefills.sumOf { it.limit.restrict(1.seconds / directPrefillTime(entry)) }
+        val directPerSecond =
+            if (snapshot.prefillLimits.areAllLimited) {
+                snapshot.runLimits.restrict(1.seconds / directPrefillTime(entry))
+            } else {
+                0.0
+            }
         val runTimeInMemory = expectedRunTime(entry) * (reservedTokens(work).toDouble() / engine.memoryTokens)
-        val runsPerSecond = decode.sumOf {
-            it.limit.restrict(if (runTimeInMemory > Duration.ZERO) 1.seconds / runTimeInMemory else UNLIMITED)
-        }
+        val runsPerSecond =
+            snapshot.runLimits.restrict(if (runTimeInMemory > Duration.ZERO) 1.seconds / runTimeInMemory else UNLIMITED)
         return maxOf(intervalOf(prefillPerSecond + directPerSecond), intervalOf(runsPerSecond))
     }
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -27,6 +27,7 @@
 import org.arbutusnotch.core.retry.RetryBudget
 import org.arbutusnotch.core.straggler.SpeedEstimate
 import org.arbutusnotch.core.time.Timestamp
+import java.util.PriorityQueue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -44,6 +45,14 @@
     /** Time until which each instance that has requested a place counts as a holder. */
     private val recentHolders = HashMap<InstanceAddress, Timestamp>()
     private val relays = RelayCandidates()
+    private val shares = ServiceShares()
+
+    /** Requests that make room for others of their priority, as of the latest tick. */
+    private var postponed: Set<TicketId> = emptySet()
+
+    /** Number of queued requests that make room for others which have had less service. */
+    public val postponedRequests: Int
+        get() = postponed.size
     private var nextStageChangeAt = Timestamp(0)
 
     /** Fraction of the request limits of servers that this dispatcher may grant. */
@@ -76,7 +85,7 @@
         get() = trackedServers.values.count { it.limit.perSecond != null }
 
     /** Number of visits of servers by decisions so far, which is most of the cost of dispatching. */
-    public val serverVisits: Long
+    internal val serverVisits: Long
         get() = trackedServers.values.sumOf { it.reads }
 
     /** Returns the number of retries that the retry budget still allows at [now]. */
@@ -257,9 +266,18 @@
         recentGrants.values.removeIf { it.expiresAt <= now }
         recentHolders.values.removeIf { it <= now }
         waiting.values.removeIf { it.expiresAt <= now }
+        shares.expire(now)
+        updatePostponed(now)
         return dispatchWaiting(now, refusesHopeless = true)
     }
 
+    private fun updatePostponed(now: Timestamp) {
+        postponed = emptySet()
+        if (waiting.size < 2 || !policy.sharesFairly) return
+        selection.beginPass(now)
+        postponed = FairOrder(selection, shares, now).postponed(DispatchOrder.rank(waiting.values, selection, now))
+    }
+
     private fun refusalReason(request: DispatchRequest, entry: WaitingRequest, now: Timestamp): DispatchRefusal? {
         val ahead = waitingAhead(entry)
         noServerReason(entry, ahead, now)?.let { return it }
@@ -320,7 +338,8 @@
         if (refusesHopeless) waiting.values.toList().mapNotNullTo(decisions) { refuseIfHopeless(it, now) }
         if (!selection.hasRoomForAny(waiting.values, now)) return decisions
         val reservations = Reservations()
-        val queue = DispatchOrder.queueOf(DispatchOrder.rank(waiting.values, selection, now))
+        // Few requests are taken from the queue in a pass, so that it is not sorted as a whole.
+        val queue = PriorityQueue(DispatchOrder.rank(waiting.values, selection, now, postponed))
         while (queue.isNotEmpty()) {
             val entry = queue.poll().entry
             val refused = refuseIfHopeless(entry, now)
@@ -368,6 +387,7 @@
     private fun grant(entry: WaitingRequest, places: PlacedRequest, now: Timestamp): DispatchDecision {
         places.prefill?.let { occupy(it, entry, PlacePart.PREFILL, now) }
         occupy(places.run, entry, PlacePart.RUN, now)
+        shares.record(entry, now)
         (entry.work as? DispatchWork.Generation)?.let { demand.observe(it.promptTokens, it.outputTokens) }
         val decision = DispatchDecision.Granted(
             ticket = entry.ticket,
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolSnapshot.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolSnapshot.kt
@@ -41,6 +41,12 @@
         runServers.any { it.isPaused || it.health.hasFaultyPaths }
     }
 
+    /** Request limits of [prefillServers]. */
+    val prefillLimits: RateLimits by unsynchronized { RateLimits(prefillServers) }
+
+    /** Request limits of [runServers]. */
+    val runLimits: RateLimits by unsynchronized { RateLimits(runServers) }
+
     private val prefillVersions: Set<SoftwareVersion> by unsynchronized {
         prefillServers.map { it.server.version }.toSet()
     }
@@ -98,6 +104,19 @@
         }
     }
 
+    /** Adds up the capacity of [servers], of which some limit their requests. */
+    class RateLimits(servers: List<TrackedServer>) {
+        private val limits = servers.mapNotNull { it.limit.perSecond }
+        private val unlimited = servers.size - limits.size
+
+        /** Whether every server limits its requests; true when there are none. */
+        val areAllLimited: Boolean = unlimited == 0
+
+        /** Returns the requests per second of all servers if each could take [capacity] requests per second. */
+        fun restrict(capacity: Double): Double =
+            (if (unlimited == 0) 0.0 else unlimited * capacity) + limits.sumOf { minOf(it, capacity) }
+    }
+
     private data class Path(val holder: InstanceAddress, val domain: FailureDomainId)
 
     private data class OptionsKey(
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/WaitingRequest.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/WaitingRequest.kt
@@ -10,6 +10,7 @@
 import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.id.SoftwareVersion
 import org.arbutusnotch.core.id.TicketId
+import org.arbutusnotch.core.id.WorkspaceId
 import org.arbutusnotch.core.message.DispatchRefusal
 import org.arbutusnotch.core.message.DispatchRequest
 import org.arbutusnotch.core.message.DispatchWork
@@ -25,6 +26,8 @@
  * @property deadlineAt time at which the caller gives up
  * @property begun whether the caller has already received part of the answer
  * @property version software version that the request needs; null for any
+ * @property workspace workspace of the caller; null if there is none
+ * @property route name of the route; null if it is not known
  * @property waitingSince time at which the request arrived at the dispatcher
  * @property expiresAt time at which the request is dropped unless its holder sends it again
  */
@@ -40,6 +43,8 @@
     val excluded: Set<BackendServerId>,
     val begun: Boolean,
     val version: SoftwareVersion?,
+    val workspace: WorkspaceId?,
+    val route: String?,
     val waitingSince: Timestamp,
     val expiresAt: Timestamp,
 ) {
@@ -63,6 +68,8 @@
             excluded = request.excluded.toSet(),
             begun = request.begun,
             version = request.version,
+            workspace = request.workspace,
+            route = request.route,
             waitingSince = now,
             expiresAt = now + HOLDER_TIMEOUT,
         )
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
@@ -15,6 +15,7 @@
 import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.id.SoftwareVersion
 import org.arbutusnotch.core.id.TicketId
+import org.arbutusnotch.core.id.WorkspaceId
 
 /** Marks the messages between holders of requests and dispatchers. */
 @Serializable
@@ -86,6 +87,8 @@
  * @property leaving servers of the pool that have announced to the holder that they are leaving, although their entries
  * do not say so
  * @property version software version that began the stream, which no other version may continue; null for any version
+ * @property workspace workspace of the caller; null if the request needs no key
+ * @property route name of the route, which stands for a kind of request; null if the holder does not send it
  */
 @Serializable
 @SerialName("dispatch")
@@ -106,6 +109,8 @@
     @SerialName("l") public val limits: List<LimitReport> = emptyList(),
     @SerialName("v") public val leaving: List<LeavingReport> = emptyList(),
     @SerialName("s") public val version: SoftwareVersion? = null,
+    @SerialName("k") public val workspace: WorkspaceId? = null,
+    @SerialName("n") public val route: String? = null,
 ) : DispatchMessage
 
 /** Gives the reason why a request gets no place. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -231,6 +231,7 @@
         front.open()
         metrics.registerGauge("arbutusnotch_dispatch_waiting") { dispatchService.queueLength }
         metrics.registerGauge("arbutusnotch_dispatch_places") { dispatchService.placesInUse }
+        metrics.registerGauge("arbutusnotch_dispatch_postponed") { dispatchService.postponedRequests }
         metrics.registerGauge("arbutusnotch_dispatch_limited_servers") { dispatchService.limitedServers }
         metrics.registerGauge("arbutusnotch_stream_origins") { streamOrigins.size }
         metrics.registerGauge("arbutusnotch_quarantined") { quarantine.suspiciousDigests(clock.now()).size }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -17,6 +17,7 @@
 import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.id.SoftwareVersion
 import org.arbutusnotch.core.id.TicketId
+import org.arbutusnotch.core.id.WorkspaceId
 import org.arbutusnotch.core.membership.DispatchRole
 import org.arbutusnotch.core.membership.RendezvousHash
 import org.arbutusnotch.core.message.DispatchRefusal
@@ -47,6 +48,8 @@
  * @property resubmitted whether a place was already requested with another ticket
  * @property started whether the caller already has a part of the stream, from this answer or from an earlier one
  * @property version software version that began the stream; null for any version
+ * @property workspace workspace of the caller's key; null if the request needs none
+ * @property route name of the route; null if it is not known
  */
 internal data class PlaceRequest(
     val pool: PoolId,
@@ -60,6 +63,8 @@
     val resubmitted: Boolean,
     val started: Boolean = false,
     val version: SoftwareVersion? = null,
+    val workspace: WorkspaceId? = null,
+    val route: String? = null,
 ) {
     /** Returns whether [server] has the software version that the request needs. */
     fun accepts(server: BackendServer): Boolean = version == null || server.version == version
@@ -360,6 +365,8 @@
                 limits = reportedLimits(request.pool, now),
                 leaving = reportedLeaving(request.pool, now),
                 version = request.version,
+                workspace = request.workspace,
+                route = request.route,
             ),
         )
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -56,6 +56,10 @@
     val placesInUse: Int
         get() = dispatchers.values.sumOf { it.placesInUse }
 
+    /** Number of queued requests that make room for requests of other workspaces, routes or failure domains. */
+    val postponedRequests: Int
+        get() = dispatchers.values.sumOf { it.postponedRequests }
+
     /** Number of servers in all pools that limit their requests. */
     val limitedServers: Int
         get() = dispatchers.values.sumOf { it.limitedServers }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -189,6 +189,8 @@
             resubmitted = placeRequested,
             started = responseStarted || requiredVersion != null,
             version = requiredVersion,
+            workspace = request.workspace?.id,
+            route = request.route.name,
         )
         placeRequested = true
         placeRequestNumber += 1
