Limit the places of servers that have just started or recovered

A server got all of its slots at once after a start or a fault, while it may still be cold. The dispatcher now derives the limit from the answers: it starts with an eighth of the slots (half while the state of the pool is unknown), doubles after each round of two answers at the speed of the peers, and lowers the limit of slow servers to what fits them. PoolDispatcher does so only with pacesServers.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -149,12 +149,17 @@
     override fun place(entry: WaitingRequest, reservedVersions: Set<SoftwareVersion>, now: Timestamp): PlacedRequest? {
         val medianTime = medianCallTime()
         return eligibleServers(entry, reservedVersions, now)
-            .filter { it.places.size < it.server.slots + IN_FLIGHT_CALLS }
+            .filter { it.places.size < it.server.slots + IN_FLIGHT_CALLS && isWithinPace(it, now) }
             .filter { now >= it.fullUntil && it.limit.admits(now) && !isStalled(it, medianTime, now) }
             .minByOrNull { costMillis(it, entry, medianTime, now) }
             ?.let { PlacedRequest(PlannedPlace(it)) }
     }
 
+    private fun isWithinPace(tracked: TrackedServer, now: Timestamp): Boolean {
+        val slots = tracked.server.slots
+        return tracked.isWithinPace(slots, usage = tracked.places.size.toDouble() / slots, now)
+    }
+
     private fun costMillis(
         tracked: TrackedServer,
         entry: WaitingRequest,
@@ -280,12 +285,20 @@
         val used = tracked.usedTokens
         return now >= maxOf(tracked.fullUntil, tracked.stageSwitchUntil) && tracked.limit.admits(now) &&
             tracked.places.size < engine.slots &&
-            (used == 0 || used + reservedTokens(work) <= engine.memoryTokens * USABLE_MEMORY_SHARE)
+            (used == 0 || used + reservedTokens(work) <= engine.memoryTokens * USABLE_MEMORY_SHARE) &&
+            tracked.isWithinPace(engine.slots, usage = usage(tracked, used), now)
     }
 
+    private fun usage(tracked: TrackedServer, usedTokens: Int): Double =
+        maxOf(tracked.places.size.toDouble() / engine.slots, usedTokens.toDouble() / engine.memoryTokens)
+
     private fun hasPrefillCapacity(tracked: TrackedServer, now: Timestamp): Boolean =
         tracked.places.size < MAXIMUM_PROMPTS_PER_PREFILL_SERVER && now >= tracked.stageSwitchUntil &&
-            tracked.limit.admits(now)
+            tracked.limit.admits(now) && tracked.isWithinPace(
+                slots = MAXIMUM_PROMPTS_PER_PREFILL_SERVER,
+                usage = tracked.places.size.toDouble() / MAXIMUM_PROMPTS_PER_PREFILL_SERVER,
+                now = now,
+            )
 
     private fun queuedPrefillTime(tracked: TrackedServer, work: DispatchWork.Generation, now: Timestamp): Duration =
         tracked.timePerUnit(medianPromptTokenTime(), now) * (tracked.queuedPromptTokens + work.promptTokens)
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -33,9 +33,14 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Queues, places and refuses the requests of one pool. */
-public class PoolDispatcher(private val budget: RetryBudget) {
+/**
+ * Queues, places and refuses the requests of one pool.
+ *
+ * @param pacesServers whether servers that have just started or recovered get fewer requests at a time
+ */
+public class PoolDispatcher(private val budget: RetryBudget, pacesServers: Boolean = false) {
     private val trackedServers = LinkedHashMap<BackendServerId, TrackedServer>()
+    private val pace = if (pacesServers) PoolPace(trackedServers) else null
     private val waiting = LinkedHashMap<TicketId, WaitingRequest>()
     private val recentGrants = LinkedHashMap<TicketId, RecentGrant>()
     private val demand = DemandAverage()
@@ -74,6 +79,13 @@
     public val limitedServers: Int
         get() = trackedServers.values.count { it.limit.perSecond != null }
 
+    /** Number of servers that get fewer requests at a time because they have just started or recovered, or are slow. */
+    public val pacedServers: Int
+        get() = pace?.limitedServers ?: 0
+
+    /** Returns the changes in the pace of servers since the previous call. */
+    public fun takePaceChanges(): List<PaceChange> = pace?.takeChanges().orEmpty()
+
     /** Returns the number of retries that the retry budget still allows at [now]. */
     public fun availableRetries(now: Timestamp): Int = budget.availableRetries(now)
 
@@ -101,9 +113,12 @@
         servers.forEach { server ->
             val known = trackedServers[server.id]
             if (known == null || known.server.startedAt != server.startedAt) {
-                trackedServers[server.id] = TrackedServer(server, requestShare)
+                trackedServers[server.id] = TrackedServer(server, requestShare, pace)
             } else {
-                if (known.server.stage != server.stage) known.stageSwitchUntil = Timestamp(0)
+                if (known.server.stage != server.stage) {
+                    known.stageSwitchUntil = Timestamp(0)
+                    known.pace.changeStage()
+                }
                 known.server = server
             }
         }
@@ -144,6 +159,7 @@
         val key = PlaceKey(release.ticket, release.part)
         val place = if (release.outcome == PlaceOutcome.SILENT) tracked.places[key] else tracked.places.remove(key)
         recordHealth(tracked, release, place, now)
+        if (place != null) pace?.record(tracked, release, place, now)
         if (release.outcome in ANSWERED_OUTCOMES) tracked.lastAnswerAt = now
         if (release.outcome == PlaceOutcome.NOT_RUN) tracked.fullUntil = now + REJECTION_PAUSE
         // An accepted prefill is not counted separately from its run; a rejected one counts as an additional attempt.
@@ -188,6 +204,7 @@
             known.expiresAt = now + PLACE_LIFETIME
             return
         }
+        tracked.pace.hasReportedPlaces = true
         tracked.places[key] = UsedPlace(
             holder = holder,
             tokens = held.tokens,
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
@@ -35,8 +35,9 @@
     var expiresAt: Timestamp,
 )
 
-/** Tracks [server]; its request limit is used up to [requestShare]. */
-internal class TrackedServer(var server: BackendServer, requestShare: Double) {
+/** Tracks [server]; its request limit is used up to [requestShare], and its places as [poolPace] allows, if present. */
+internal class TrackedServer(var server: BackendServer, requestShare: Double, private val poolPace: PoolPace? = null) {
+    val pace = poolPace?.newServer() ?: ServerPace(joined = false)
     val places = LinkedHashMap<PlaceKey, UsedPlace>()
     val health = ServerHealth()
     val limit = RequestLimit(requestShare)
@@ -52,6 +53,10 @@
     val queuedPromptTokens: Int
         get() = places.entries.sumOf { if (it.key.part == PlacePart.PREFILL) it.value.tokens else 0 }
 
+    /** Returns whether the server, which uses the share [usage] of its [slots] places, may use another one by its pace. */
+    fun isWithinPace(slots: Int, usage: Double, now: Timestamp): Boolean =
+        poolPace?.admits(this, slots, usage, now) ?: true
+
     /** Returns the number of prompts that the server prefills itself at [now], in addition to decoding. */
     fun directPrefills(now: Timestamp): Int =
         places.values.count { it.directPrefillUntil != null && it.directPrefillUntil > now }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/DispatchFixture.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/DispatchFixture.kt
@@ -31,8 +31,9 @@
     engine: EngineProfile? = null,
     budget: RetryBudget = RetryBudget(),
     reported: Boolean = true,
+    pacesServers: Boolean = false,
 ) {
-    val dispatcher = PoolDispatcher(budget).also { it.configure(servers, engine) }
+    val dispatcher = PoolDispatcher(budget, pacesServers).also { it.configure(servers, engine) }
     var now = Timestamp(1_000_000)
     private var lastTicket = 0
 
