Enable the pace of servers by a setting, and report its changes

bounds.paceServers (off if missing) enables the limit of servers that have just started or recovered. The dispatching instance logs server_pace_changed, counts it in arbutusnotch_server_pace_changes, and reports the limited servers in arbutusnotch_dispatch_paced_servers.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -150,6 +150,8 @@
         mayOrderStageChange = { pool, now -> tenure.mayOrder(pool, now) },
         orderStageChange = { change, onNotSent -> orderStage(change, onNotSent) },
         reply = { target, reply -> deliver(target, reply) },
+        pacesServers = settings.pacesServers,
+        recordPaceChange = { metrics.recordPaceChange(it) },
     )
     private val dispatchClient = DispatchClient(
         self = self,
@@ -232,6 +234,7 @@
         metrics.registerGauge("arbutusnotch_dispatch_waiting") { dispatchService.queueLength }
         metrics.registerGauge("arbutusnotch_dispatch_places") { dispatchService.placesInUse }
         metrics.registerGauge("arbutusnotch_dispatch_limited_servers") { dispatchService.limitedServers }
+        metrics.registerGauge("arbutusnotch_dispatch_paced_servers") { dispatchService.pacedServers }
         metrics.registerGauge("arbutusnotch_stream_origins") { streamOrigins.size }
         metrics.registerGauge("arbutusnotch_quarantined") { quarantine.suspiciousDigests(clock.now()).size }
         group.execute {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -4,6 +4,8 @@
 package org.arbutusnotch.forwarding.dispatch
 
 import org.arbutusnotch.core.dispatch.DispatchDecision
+import org.arbutusnotch.core.dispatch.PaceChange
+import org.arbutusnotch.core.dispatch.PaceState
 import org.arbutusnotch.core.dispatch.PoolDispatcher
 import org.arbutusnotch.core.dispatch.StageChange
 import org.arbutusnotch.core.forwarding.BackendServer
@@ -33,6 +35,8 @@
  * @param mayOrderStageChange returns whether this instance is the only one that may order stage changes in a pool
  * @param orderStageChange orders a server to change its stage; calls its second argument if the order cannot be sent
  * @param reply sends a reply to the instance at an address
+ * @param pacesServers whether servers that have just started or recovered get fewer requests at a time
+ * @param recordPaceChange counts a change of the state in which the pace of a server is
  */
 internal class DispatchService(
     private val servers: (Timestamp) -> List<BackendServer>,
@@ -44,6 +48,8 @@
     private val mayOrderStageChange: (PoolId, Timestamp) -> Boolean,
     private val orderStageChange: (StageChange, () -> Unit) -> Unit,
     private val reply: (InstanceAddress, DispatchReply) -> Unit,
+    private val pacesServers: Boolean = false,
+    private val recordPaceChange: (PaceState) -> Unit = {},
 ) {
     private val log = EventLog("dispatch")
     private val dispatchers = HashMap<PoolId, PoolDispatcher>()
@@ -60,6 +66,10 @@
     val limitedServers: Int
         get() = dispatchers.values.sumOf { it.limitedServers }
 
+    /** Number of servers in all pools that get fewer requests at a time. */
+    val pacedServers: Int
+        get() = dispatchers.values.sumOf { it.pacedServers }
+
     fun onRequest(request: DispatchRequest, now: Timestamp) {
         val dispatcher = dispatcher(request.pool, now)
         if (request.leaving.isNotEmpty()) {
@@ -117,7 +127,7 @@
     }
 
     private fun dispatcher(pool: PoolId, now: Timestamp): PoolDispatcher = dispatchers.getOrPut(pool) {
-        PoolDispatcher(newBudget()).also { newDispatcher ->
+        PoolDispatcher(newBudget(), pacesServers).also { newDispatcher ->
             configure(pool, newDispatcher, now)
             limitToShare(pool, newDispatcher, now)
             log.info("dispatching") { field("pool", pool) }
@@ -134,12 +144,23 @@
         dispatcher.configure(servers(now).filter { it.pool == pool }, poolDefinition(pool)?.engine)
 
     private fun deliver(pool: PoolId, decisions: List<DispatchDecision>, now: Timestamp) {
+        dispatchers[pool]?.takePaceChanges()?.forEach { reportPaceChange(pool, it) }
         decisions.forEach { decision ->
             if (decision is DispatchDecision.Refused) logRefusal(pool, decision, now)
             reply(decision.holder.address, replyOf(decision))
         }
     }
 
+    private fun reportPaceChange(pool: PoolId, change: PaceChange) {
+        recordPaceChange(change.state)
+        log.info("server_pace_changed") {
+            field("server", change.server)
+            field("pool", pool)
+            field("state", change.state.name.lowercase())
+            field("limit", change.limit)
+        }
+    }
+
     private fun logRefusal(pool: PoolId, refusal: DispatchDecision.Refused, now: Timestamp) {
         val dispatcher = dispatchers[pool]
         log.info("dispatch_refused") {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingMetrics.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingMetrics.kt
@@ -7,6 +7,7 @@
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
+import org.arbutusnotch.core.dispatch.PaceState
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
@@ -44,6 +45,13 @@
         }.increment()
     }
 
+    /** Counts a server whose pace has changed to [state]. */
+    fun recordPaceChange(state: PaceState) {
+        counters.getOrPut("pace" to state.name) {
+            Counter.builder("arbutusnotch_server_pace_changes").tag("state", state.name.lowercase()).register(registry)
+        }.increment()
+    }
+
     /** Registers a gauge named [name] that reports the value of [read]. */
     fun registerGauge(name: String, read: () -> Int) {
         Gauge.builder(name) { read().toDouble() }.register(registry)
