--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/DispatchPolicy.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/DispatchPolicy.kt
@@ -8,8 +8,10 @@
  *
  * @property usesServerSpeeds whether runs are placed by the observed speed of each decode server
  * @property sharesFairly whether workspaces, routes and failure domains share the capacity if it is too small for all
+ * @property pacesServers whether servers that have just started or recovered get fewer requests at a time
  */
 public data class DispatchPolicy(
     public val usesServerSpeeds: Boolean = true,
     public val sharesFairly: Boolean = true,
+    public val pacesServers: Boolean = false,
 )
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -170,7 +170,12 @@
 
     private fun hasRoom(tracked: TrackedServer, medianTime: Duration, now: Timestamp): Boolean =
         tracked.places.size < tracked.server.slots + IN_FLIGHT_CALLS && now >= tracked.fullUntil &&
-            tracked.limit.admits(now) && !isStalled(tracked, medianTime, now)
+            tracked.limit.admits(now) && !isStalled(tracked, medianTime, now) && isWithinPace(tracked, now)
+
+    private fun isWithinPace(tracked: TrackedServer, now: Timestamp): Boolean {
+        val slots = tracked.server.slots
+        return tracked.isWithinPace(slots, usage = tracked.places.size.toDouble() / slots, now)
+    }
 
     private fun costMillis(
         tracked: TrackedServer,
@@ -306,12 +311,20 @@
         val used = tracked.usedTokens
         return now >= tracked.stageSwitchUntil && tracked.rejections.admits(now) && tracked.limit.admits(now) &&
             tracked.places.size < engine.slots &&
-            (used == 0 || used + tokens <= engine.memoryTokens * USABLE_MEMORY_SHARE)
+            (used == 0 || used + tokens <= engine.memoryTokens * USABLE_MEMORY_SHARE) &&
+            tracked.isWithinPace(engine.slots, usage = usage(tracked, used), now)
     }
 
+    private fun usage(tracked: TrackedServer, usedTokens: Int): Double =
+        maxOf(tracked.places.size.toDouble() / engine.slots, usedTokens.toDouble() / engine.memoryTokens)
+
     private fun hasPrefillCapacity(tracked: TrackedServer, now: Timestamp): Boolean =
         tracked.places.size < MAXIMUM_PROMPTS_PER_PREFILL_SERVER && now >= tracked.stageSwitchUntil &&
-            tracked.limit.admits(now)
+            tracked.limit.admits(now) && tracked.isWithinPace(
+                slots = MAXIMUM_PROMPTS_PER_PREFILL_SERVER,
+                usage = tracked.places.size.toDouble() / MAXIMUM_PROMPTS_PER_PREFILL_SERVER,
+                now = now,
+            )
 
     private fun queuedPrefillTime(tracked: TrackedServer, work: DispatchWork.Generation, now: Timestamp): Duration =
         tracked.timePerUnit(medianPromptTokenTime(), now) * (tracked.queuedPromptTokens + work.promptTokens)
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -38,6 +38,7 @@
     private val policy: DispatchPolicy = DispatchPolicy(),
 ) {
     private val trackedServers = LinkedHashMap<BackendServerId, TrackedServer>()
+    private val pace = if (policy.pacesServers) PoolPace(trackedServers) else null
     private val waiting = LinkedHashMap<TicketId, WaitingRequest>()
     private val recentGrants = LinkedHashMap<TicketId, RecentGrant>()
     private val demand = DemandAverage()
@@ -91,6 +92,13 @@
     internal val serverVisits: Long
         get() = trackedServers.values.sumOf { it.reads }
 
+    /** Number of servers that get fewer requests at a time because they have just started or recovered, or are slow. */
+    public val pacedServers: Int
+        get() = pace?.limitedServers ?: 0
+
+    /** Returns the changes in the pace of servers since the previous call. */
+    public fun takePaceChanges(): List<PaceChange> = pace?.takeChanges().orEmpty()
+
     /** Returns the number of retries that the retry budget still allows at [now]. */
     public fun availableRetries(now: Timestamp): Int = budget.availableRetries(now)
 
@@ -126,9 +134,12 @@
         servers.forEach { server ->
             val known = trackedServers[server.id]
             if (known == null || known.server.startedAt != server.startedAt) {
-                trackedServers[server.id] = TrackedServer(server, requestShare)
+                trackedServers[server.id] = TrackedServer(server, requestShare, pace)
             } else {
-                if (known.server.stage != server.stage) known.stageSwitchUntil = Timestamp(0)
+                if (known.server.stage != server.stage) {
+                    known.stageSwitchUntil = Timestamp(0)
+                    known.pace.changeStage()
+                }
                 known.server = server
             }
         }
@@ -170,6 +181,7 @@
         val key = PlaceKey(release.ticket, release.part)
         val place = if (release.outcome == PlaceOutcome.SILENT) tracked.places[key] else tracked.places.remove(key)
         recordHealth(tracked, release, place, now)
+        if (place != null) pace?.record(tracked, release, place, now)
         if (release.outcome in ANSWERED_OUTCOMES) tracked.lastAnswerAt = now
         recordRejections(tracked, release, place, now)
         // An accepted prefill is not counted separately from its run; a rejected one counts as an additional attempt.
@@ -224,6 +236,7 @@
             known.expiresAt = now + PLACE_LIFETIME
             return
         }
+        tracked.pace.hasReportedPlaces = true
         tracked.places[key] = UsedPlace(
             holder = holder,
             tokens = held.tokens,
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/DispatchFixture.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/DispatchFixture.kt
@@ -32,8 +32,10 @@
     budget: RetryBudget = RetryBudget(),
     reported: Boolean = true,
     policy: DispatchPolicy = DispatchPolicy(),
+    pacesServers: Boolean = policy.pacesServers,
 ) {
-    val dispatcher = PoolDispatcher(budget, policy).also { it.configure(servers, engine) }
+    val dispatcher =
+        PoolDispatcher(budget, policy.copy(pacesServers = pacesServers)).also { it.configure(servers, engine) }
     var now = Timestamp(1_000_000)
     private var lastTicket = 0
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -179,6 +179,8 @@
         mayOrderStageChange = { pool, now -> tenure.mayOrder(pool, now) },
         orderStageChange = { change, onNotSent -> orderStage(change, onNotSent) },
         reply = { target, reply -> deliver(target, reply) },
+        pacesServers = settings.pacesServers,
+        recordPaceChange = { metrics.recordPaceChange(it) },
     )
     private val dispatchClient = DispatchClient(
         self = self,
@@ -288,6 +290,7 @@
         metrics.registerGauge("arbutusnotch_quota_workspaces") { quotaService.workspaceCount }
         metrics.registerGauge("arbutusnotch_quota_tickets") { quotaService.ticketCount }
         metrics.registerGauge("arbutusnotch_quota_waiting") { quotaClient.pendingCount }
+        metrics.registerGauge("arbutusnotch_dispatch_paced_servers") { dispatchService.pacedServers }
         metrics.registerGauge("arbutusnotch_stream_origins") { streamOrigins.size }
         metrics.registerGauge("arbutusnotch_quarantined") { quarantine.suspiciousDigests(clock.now()).size }
         metrics.registerGauge("arbutusnotch_configuration_age_millis") { configuration.ageMillis }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingSettings.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingSettings.kt
@@ -27,6 +27,7 @@
  * @property revocationTime time after which a key that was removed from the configuration must be rejected; null for
  * no limit
  * @property quotaTolerance what the requests of a workspace may exceed its quota by
+ * @property pacesServers whether servers that have just started or recovered get fewer requests at a time
  */
 public data class ForwardingSettings(
     public val peerAddress: InstanceAddress,
@@ -45,4 +46,5 @@
     public val processorCapacity: Double = 0.0,
     public val revocationTime: Duration? = null,
     public val quotaTolerance: QuotaTolerance = QuotaTolerance(),
+    public val pacesServers: Boolean = false,
 )
