--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
@@ -53,7 +53,7 @@
     val queuedPromptTokens: Int
         get() = places.entries.sumOf { if (it.key.part == PlacePart.PREFILL) it.value.tokens else 0 }
 
-    /** Returns whether the server, which uses the share [usage] of its [slots] places, may use another one by its pace. */
+    /** Returns whether the pace of the server, which uses the share [usage] of its [slots] places, admits a request. */
     fun isWithinPace(slots: Int, usage: Double, now: Timestamp): Boolean =
         poolPace?.admits(this, slots, usage, now) ?: true
 
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/PacedLoad.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/PacedLoad.kt
@@ -76,7 +76,8 @@
         while (fixture.dispatcher.queueLength < QUEUE) submit()
         fresh.forEach { granted ->
             val server = granted.server.value
-            val request = LoadedRequest(works.getValue(granted.ticket.value), server, held.getValue(server), fixture.now)
+            val work = works.getValue(granted.ticket.value)
+            val request = LoadedRequest(work, server, held.getValue(server), fixture.now)
             val time = elapsed(request)
             ends += End(fixture.now + time, granted, time)
         }
