--- /dev/null
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/RequestMemoryBudgetTest.kt
@@ -0,0 +1,73 @@
+package org.arbutusnotch.core.forwarding
+
+import org.arbutusnotch.core.time.Timestamp
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+
+class RequestMemoryBudgetTest {
+    private val budget = RequestMemoryBudget(1_000_000)
+    private val evicted = mutableListOf<String>()
+
+    private fun account(name: String, progressAt: Long = 10_000) =
+        MemoryAccount { evicted += name }.also { it.progressAt = Timestamp(progressAt) }
+
+    private fun reserve(account: MemoryAccount, bytes: Int) = budget.resize(account, bytes, Timestamp(10_000))
+
+    /** Guards against large requests that leave no memory for ordinary ones. */
+    @Test
+    fun `small requests have room while large ones use their whole share`() {
+        expectThat(reserve(account("large").also { it.mayYield = false }, 750_000)).isTrue()
+        expectThat(reserve(account("second"), 100_000)).isFalse()
+        expectThat(reserve(account("small"), 60_000)).isTrue()
+        expectThat(evicted).isEmpty()
+    }
+
+    /** Guards against rejecting a request that arrives steadily instead of a client that stopped short of the end. */
+    @Test
+    fun `stalled request yields to one of the same size that makes progress`() {
+        expectThat(reserve(account("steady"), 300_000)).isTrue()
+        expectThat(reserve(account("stalled", progressAt = 8_000), 300_000)).isTrue()
+        expectThat(reserve(account("new"), 300_000)).isTrue()
+        expectThat(evicted).containsExactly("stalled")
+        expectThat(budget.usedBytes).isEqualTo(600_000)
+    }
+
+    /** Guards against cutting off requests that are being served, whose outcome would become unknown. */
+    @Test
+    fun `request that is served never yields`() {
+        val served = account("served", progressAt = 0)
+        expectThat(reserve(served, 700_000)).isTrue()
+        served.mayYield = false
+        expectThat(reserve(account("new"), 300_000)).isFalse()
+        expectThat(evicted).isEmpty()
+        budget.release(served)
+        expectThat(reserve(account("next"), 700_000)).isTrue()
+    }
+
+    /** Guards against memory that is counted twice or never returned. */
+    @Test
+    fun `released and shrunk accounts free their memory`() {
+        val first = account("first")
+        reserve(first, 700_000)
+        reserve(first, 1_000)
+        expectThat(budget.usedBytes).isEqualTo(1_000)
+        expectThat(reserve(account("second"), 750_000)).isTrue()
+        budget.release(first)
+        budget.release(first)
+        expectThat(budget.usedBytes).isEqualTo(750_000)
+        expectThat(evicted).isEmpty()
+    }
+
+    /** Guards against a crowd of idle connections that keeps new ones out. */
+    @Test
+    fun `idle connections yield when small requests need their memory`() {
+        repeat(200) { reserve(account("idle-$it", progressAt = 9_000L - it), 5_000) }
+        expectThat(reserve(account("new"), 5_000)).isTrue()
+        expectThat(evicted).containsExactly("idle-199")
+    }
+}
