Hold the body of a request in blocks and write it without a copy for each attempt

A body was collected in a growing array, copied when it was complete, and copied into direct memory as a whole for each attempt. It is now held in blocks that all attempts share, and written as the connection to the server has room.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/RequestContent.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/RequestContent.kt
@@ -17,7 +17,7 @@
     val start = "${head.header("host").orEmpty().lowercase()}\n${head.method} ${head.target}\n"
     val digest = DigestUtils.getSha256Digest()
     digest.update(start.toByteArray(Charsets.ISO_8859_1))
-    digest.update(request.body)
+    request.body.forEachBlock { block, length -> digest.update(block, 0, length) }
     return ContentDigest(Hex.encodeHexString(digest.digest().copyOf(DIGEST_BYTES)))
 }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HeadWriter.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HeadWriter.kt
@@ -13,15 +13,15 @@
     private val lastChunk = "0\r\n\r\n".toByteArray(StandardCharsets.ISO_8859_1)
     private val lineEnd = LINE_END.toByteArray(StandardCharsets.ISO_8859_1)
 
-    /** Encodes a request with its body. */
-    fun request(head: RequestHead, body: ByteArray, allocator: ByteBufAllocator): ByteBuf {
-        val framedHeaders = if (body.isEmpty() && !requiresContentLength(head.method)) {
+    /** Encodes the head of a request whose body has [bodyBytes]. */
+    fun request(head: RequestHead, bodyBytes: Int, allocator: ByteBufAllocator): ByteBuf {
+        val framedHeaders = if (bodyBytes == 0 && !requiresContentLength(head.method)) {
             head.headers
         } else {
-            head.headers + HeaderField("Content-Length", body.size.toString())
+            head.headers + HeaderField("Content-Length", bodyBytes.toString())
         }
         val text = encode("${head.method} ${head.target} HTTP/1.1", framedHeaders)
-        return allocator.buffer(text.size + body.size).writeBytes(text).writeBytes(body)
+        return allocator.buffer(text.size).writeBytes(text)
     }
 
     /** Encodes the head of a response. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/Message.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/Message.kt
@@ -40,7 +40,10 @@
 ) : MessageHead
 
 /** Holds a complete request. */
-public class HttpRequestMessage(public val head: RequestHead, public val body: ByteArray)
+public class HttpRequestMessage(public val head: RequestHead, public val body: RequestBody) {
+    /** Creates a request whose body is a single array. */
+    public constructor(head: RequestHead, body: ByteArray) : this(head, RequestBody.of(body))
+}
 
 /** Holds a complete response. */
 public class HttpResponseMessage(public val head: ResponseHead, public val body: ByteArray)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
@@ -103,6 +103,10 @@
     private var heldFields = 0
     private val heldHead = BufferedAnswer { end(CallEnd.Broken(HEAD_EVICTED)) }
 
+    /** Parts of the request that are not written yet. */
+    private val unsent = ArrayDeque<ByteBuf>()
+    private var writing = false
+
     /** Connects to [address] and sends the request. */
     fun start(address: InetSocketAddress, group: EventLoopGroup) {
         val connecting = Bootstrap()
@@ -143,15 +147,39 @@
             end(CallEnd.Withheld)
             return
         }
-        val bytes = HeadWriter.request(request.head, request.body, opened.alloc())
-        opened.writeAndFlush(bytes).addListener { written ->
-            if (!written.isSuccess && failure == null) failure = describe(written.cause())
-        }
+        unsent.addLast(HeadWriter.request(request.head, request.body.size, opened.alloc()))
+        unsent.addAll(request.body.buffers())
+        writeUnsent()
+    }
+
+    /**
+     * Writes as much of the request as the write buffer of the connection has room for. Netty copies what is written
+     * into direct memory, so that a body written at once would be held twice for each attempt.
+     */
+    private fun writeUnsent() {
+        val opened = channel ?: return
+        if (writing) return
+        writing = true
+        do {
+            while (opened.isWritable && unsent.isNotEmpty()) {
+                opened.write(unsent.removeFirst()).addListener { written ->
+                    if (!written.isSuccess && failure == null) failure = describe(written.cause())
+                }
+            }
+            opened.flush()
+        } while (opened.isWritable && unsent.isNotEmpty())
+        writing = false
+    }
+
+    private fun dropUnsent() {
+        unsent.forEach { it.release() }
+        unsent.clear()
     }
 
     /** Closes the connection; the listener is not called again. */
     fun cancel() {
         ended = true
+        dropUnsent()
         memory.release(heldHead)
         channel?.close()
     }
@@ -164,6 +192,7 @@
     private fun end(end: CallEnd) {
         if (ended) return
         ended = true
+        dropUnsent()
         memory.release(heldHead)
         channel?.close()
         listener.onEnd(end)
@@ -250,6 +279,8 @@
             if (last) end(CallEnd.Complete(endsWithConnection))
         }
 
+        override fun channelWritabilityChanged(context: ChannelHandlerContext): Unit = writeUnsent()
+
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             failure = describe(cause)
             context.close()
