Limit the memory and the connections that clients can hold

Clients ended the process with many incomplete heads, bodies, chunks or trailers. Each connection now reserves its memory from one budget for each process; if it is spent, the connection that holds most and makes least progress gets 503, or is closed when it is idle.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/RequestMemoryBudget.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/RequestMemoryBudget.kt
@@ -30,14 +30,17 @@
 }
 
 /** Shares [maximumBytes] between all connections of clients. */
-public class RequestMemoryBudget(private val maximumBytes: Int) {
+public class RequestMemoryBudget(maximumBytes: Int) {
     private val accounts = LinkedHashSet<MemoryAccount>()
-    private val maximumLargeBytes = (maximumBytes * LARGE_SHARE).toInt()
+    private val tiers = listOf(
+        Tier(minimumBytes = 0, maximumBytes = maximumBytes),
+        Tier(minimumBytes = MINIMAL_ACCOUNT_BYTES, maximumBytes = (maximumBytes * MEDIUM_SHARE).toInt()),
+        Tier(minimumBytes = SMALL_ACCOUNT_BYTES, maximumBytes = (maximumBytes * LARGE_SHARE).toInt()),
+    )
 
-    /** Bytes of all accounts, and of those that hold more than [SMALL_ACCOUNT_BYTES]. */
-    public var usedBytes: Int = 0
-        private set
-    private var largeBytes = 0
+    /** Bytes of all accounts. */
+    public val usedBytes: Int
+        get() = tiers.first().usedBytes
 
     /**
      * Records that [account] holds [bytes] at [now]. While the budget is spent, accounts that should yield first are
@@ -47,10 +50,12 @@
      */
     public fun resize(account: MemoryAccount, bytes: Int, now: Timestamp): Boolean {
         if (bytes > account.heldBytes) {
-            while (!fits(account, bytes)) {
-                val victim = findVictim(account, bytes, now) ?: return false
+            var fullTier = findFullTier(account, bytes)
+            while (fullTier != null) {
+                val victim = findVictim(fullTier, account, bytes, now) ?: return false
                 release(victim)
                 victim.evict()
+                fullTier = findFullTier(account, bytes)
             }
         }
         record(account, bytes)
@@ -61,26 +66,21 @@
     public fun release(account: MemoryAccount): Unit = record(account, 0)
 
     private fun record(account: MemoryAccount, bytes: Int) {
-        usedBytes += bytes - account.heldBytes
-        largeBytes += largePart(bytes) - largePart(account.heldBytes)
+        tiers.forEach { it.usedBytes += it.partOf(bytes) - it.partOf(account.heldBytes) }
         account.heldBytes = bytes
         if (bytes == 0) accounts.remove(account) else accounts.add(account)
     }
 
-    private fun fits(account: MemoryAccount, bytes: Int): Boolean =
-        usedBytes - account.heldBytes + bytes <= maximumBytes && largeFits(account, bytes)
-
-    private fun largeFits(account: MemoryAccount, bytes: Int): Boolean =
-        largePart(bytes) == 0 || largeBytes - largePart(account.heldBytes) + bytes <= maximumLargeBytes
-
-    private fun largePart(bytes: Int) = if (bytes > SMALL_ACCOUNT_BYTES) bytes else 0
+    /** Returns the tier that has no room for [account] with [bytes]; null if all have. */
+    private fun findFullTier(account: MemoryAccount, bytes: Int): Tier? = tiers.lastOrNull {
+        it.partOf(bytes) > 0 && it.usedBytes - it.partOf(account.heldBytes) + bytes > it.maximumBytes
+    }
 
-    /** Returns the account that yields to [account]; null if [account] itself should yield first. */
-    private fun findVictim(account: MemoryAccount, bytes: Int, now: Timestamp): MemoryAccount? {
-        val onlyLarge = !largeFits(account, bytes)
+    /** Returns the account in [tier] that yields to [account]; null if [account] itself should yield first. */
+    private fun findVictim(tier: Tier, account: MemoryAccount, bytes: Int, now: Timestamp): MemoryAccount? {
         val ownRank = bytes * MINIMUM_STALL.inWholeMilliseconds
         return accounts
-            .filter { it !== account && it.mayYield && (!onlyLarge || largePart(it.heldBytes) > 0) }
+            .filter { it !== account && it.mayYield && tier.partOf(it.heldBytes) > 0 }
             .maxByOrNull { rank(it, now) }
             ?.takeIf { rank(it, now) > ownRank }
     }
@@ -89,14 +89,23 @@
     private fun rank(account: MemoryAccount, now: Timestamp): Long =
         account.heldBytes * maxOf(now - account.progressAt, MINIMUM_STALL).inWholeMilliseconds
 
-    public companion object {
-        /** Memory in bytes that ordinary requests do not exceed. */
-        public const val SMALL_ACCOUNT_BYTES: Int = 65_536
+    /** Bounds the memory of all accounts that hold more than [minimumBytes]. */
+    private class Tier(private val minimumBytes: Int, val maximumBytes: Int) {
+        var usedBytes = 0
+
+        fun partOf(bytes: Int): Int = if (bytes > minimumBytes) bytes else 0
+    }
+
+    private companion object {
+        /** Memory in bytes of a connection with a short request, and of one with an ordinary request. */
+        const val MINIMAL_ACCOUNT_BYTES = 16_384
+        const val SMALL_ACCOUNT_BYTES = 65_536
 
-        /** Share of the budget for larger accounts; the rest keeps ordinary requests going beside them. */
-        private const val LARGE_SHARE = 0.75
+        /** Shares of the budget for larger accounts; the rest keeps smaller ones going beside them. */
+        const val MEDIUM_SHARE = 0.875
+        const val LARGE_SHARE = 0.75
 
         /** Shortest time that counts as a stall: a client that sends all the time does so at these intervals. */
-        private val MINIMUM_STALL: Duration = 100.milliseconds
+        val MINIMUM_STALL: Duration = 100.milliseconds
     }
 }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/RequestMemoryBudgetTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/RequestMemoryBudgetTest.kt
@@ -27,6 +27,14 @@
         expectThat(evicted).isEmpty()
     }
 
+    /** Guards against queued requests of ordinary size that keep out probes of other endpoints. */
+    @Test
+    fun `shortest requests have room while ordinary ones are queued`() {
+        val queued = List(20) { account("queued").also { it.mayYield = false } }
+        expectThat(queued.count { reserve(it, 50_000) }).isEqualTo(17)
+        expectThat(reserve(account("probe"), 15_000)).isTrue()
+    }
+
     /** Guards against rejecting a request that arrives steadily instead of a client that stopped short of the end. */
     @Test
     fun `stalled request yields to one of the same size that makes progress`() {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -19,6 +19,7 @@
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.CallerLimits
 import org.arbutusnotch.core.forwarding.MissedChanges
+import org.arbutusnotch.core.forwarding.RequestMemoryBudget
 import org.arbutusnotch.core.forwarding.RouteTable
 import org.arbutusnotch.core.forwarding.ServerRegistry
 import org.arbutusnotch.core.forwarding.StartupRoutes
@@ -58,6 +59,7 @@
 import org.arbutusnotch.forwarding.exchange.ShutdownNotice
 import org.arbutusnotch.forwarding.http.BufferedCall
 import org.arbutusnotch.forwarding.http.CallEnd
+import org.arbutusnotch.forwarding.http.ClientIntake
 import org.arbutusnotch.forwarding.http.HeaderField
 import org.arbutusnotch.forwarding.http.HttpEndpoint
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
@@ -132,7 +134,14 @@
         heardServerChange = { missedServerChanges.heard(serverFollower.position, clock.now()) },
     )
     private val registry = ServerRegistry(settings.drainTime * REMOVED_SERVER_GRACE_SHARE, OUTAGE_GRACE)
-    private val answerBufferBudget = AnswerBufferBudget(ANSWER_BUFFER_BYTES)
+    private val heapBytes = Runtime.getRuntime().maxMemory()
+    private val answerBufferBudget =
+        AnswerBufferBudget(minOf(ANSWER_BUFFER_BYTES, (heapBytes * ANSWER_HEAP_SHARE).toInt()))
+    private val intake = ClientIntake(
+        RequestMemoryBudget((heapBytes * REQUEST_HEAP_SHARE).toLong().coerceAtMost(MAXIMUM_REQUEST_MEMORY).toInt()),
+        clock,
+    ) { metrics.recordRejectedClient(it.code()) }
+    private val connectionBounds = ConnectionBounds(settings.maximumDescriptors)
     private val publishedState = PublishedState(protocols.items, clock, registry) { onRouteTable(it) }
     private val routeFollower = follower(protocols.items.routePrefix, publishedState.routeListener)
     private val serverFollower: StoreFollower = follower(protocols.items.serverPrefix, publishedState.serverListener)
@@ -200,7 +209,8 @@
         relays = RelayedRequests { peer -> membership.serving().find { it.address == peer }?.row?.operatorAddress },
     )
     private val frontHandler = FrontHandler(context, ::routesInUse)
-    private val front = endpoint(settings.frontAddress, frontHandler)
+    private val front =
+        endpoint(settings.frontAddress, frontHandler, connectionBounds.front, countsAnswers = false)
     private val auxiliaryEndpoints = listOf(
         endpoint(settings.readyAddress, ReadinessHandler { membership.state == InstanceState.SERVING }),
         endpoint(settings.controlAddress, ControlHandler(::snapshot, frontHandler::handleRelayed)),
@@ -233,6 +243,10 @@
         metrics.registerGauge("arbutusnotch_dispatch_places") { dispatchService.placesInUse }
         metrics.registerGauge("arbutusnotch_dispatch_limited_servers") { dispatchService.limitedServers }
         metrics.registerGauge("arbutusnotch_stream_origins") { streamOrigins.size }
+        metrics.registerGauge("arbutusnotch_request_memory_bytes") { intake.budget.usedBytes }
+        metrics.registerGauge("arbutusnotch_client_connections") {
+            front.openConnections + auxiliaryEndpoints.sumOf { it.openConnections }
+        }
         metrics.registerGauge("arbutusnotch_quarantined") { quarantine.suspiciousDigests(clock.now()).size }
         group.execute {
             membership.replaceSeeds(settings.seeds)
@@ -291,8 +305,21 @@
         watchTime = { WatchTime.of(membership.counts().reachable) },
     )
 
-    private fun endpoint(address: String, handler: RequestHandler) =
-        HttpEndpoint(socketAddress(address), group, clock, { publishedState.routes?.limits ?: INITIAL_LIMITS }, handler)
+    private fun endpoint(
+        address: String,
+        handler: RequestHandler,
+        maximumConnections: Int = connectionBounds.auxiliary,
+        countsAnswers: Boolean = true,
+    ) = HttpEndpoint(
+        address = socketAddress(address),
+        group = group,
+        clock = clock,
+        limits = { publishedState.routes?.limits ?: INITIAL_LIMITS },
+        handler = handler,
+        intake = intake,
+        maximumConnections = maximumConnections,
+        countsAnswers = countsAnswers,
+    )
 
     /** Returns the routes for requests; null while the instance does not know whether they are current. */
     private fun routesInUse() = publishedState.routes?.takeUnless { membership.state == InstanceState.STARTING }
@@ -387,6 +414,7 @@
         followers.values.forEach { it.restartIfStopped() }
         front.closeTimedOut()
         auxiliaryEndpoints.forEach { it.closeTimedOut() }
+        intake.report()
         if (now >= nextSeedRefresh) {
             nextSeedRefresh = now + SEED_REFRESH_INTERVAL
             readSeeds()?.let { membership.replaceSeeds(it) }
@@ -568,6 +596,13 @@
          */
         const val ANSWER_BUFFER_BYTES = 12 * 1_024 * 1_024
 
+        /** Shares of the heap for buffered answers and for what clients send; the runtime needs about ten megabytes. */
+        const val ANSWER_HEAP_SHARE = 0.25
+        const val REQUEST_HEAP_SHARE = 0.25
+
+        /** Largest budget in bytes for what clients send, where the heap is larger than that of a deployment. */
+        const val MAXIMUM_REQUEST_MEMORY = 256L * 1_024 * 1_024
+
         /** Share of the drain time during which a server whose entry was removed still gets work. */
         const val REMOVED_SERVER_GRACE_SHARE = 0.6
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingSettings.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingSettings.kt
@@ -23,6 +23,7 @@
  * @property retryRatio retries per request, for all instances together
  * @property fixedRetries retries per budget window, independent of the number of requests, for all instances together
  * @property processorCapacity processor time of the instance in cores; 0 when unknown
+ * @property maximumDescriptors open files and connections that the machine allows the instance; 0 when unknown
  */
 public data class ForwardingSettings(
     public val peerAddress: InstanceAddress,
@@ -39,4 +40,5 @@
     public val retryRatio: Double,
     public val fixedRetries: Int,
     public val processorCapacity: Double = 0.0,
+    public val maximumDescriptors: Int = 0,
 )
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -382,6 +382,8 @@
         if (responseStarted) logIncompleteAnswer(AnswerEnd.CALLER, "")
         finish("caller_left", "")
         stopAfterDisconnect()
+        // An attempt may go on for long, but nothing is sent again, and the memory of the connection is free now.
+        request.message.body.discard()
     }
 
     /** Stops the current attempt. */
@@ -441,6 +443,7 @@
         val bytes = body.bytes()
         bodies -= body
         finishAnswered(head)
+        body.onAborted = { responder.dropUnwritten() }
         responder.send(LocalResponses.forwarded(head), bytes, onWritten = { body.discard() })
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingMetrics.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingMetrics.kt
@@ -44,6 +44,13 @@
         }.increment()
     }
 
+    /** Counts a client that was rejected for [reason] before its request was passed on. */
+    fun recordRejectedClient(reason: String) {
+        counters.getOrPut("client" to reason) {
+            Counter.builder("arbutusnotch_clients_rejected").tag("reason", reason).register(registry)
+        }.increment()
+    }
+
     /** Registers a gauge named [name] that reports the value of [read]. */
     fun registerGauge(name: String, read: () -> Int) {
         Gauge.builder(name) { read().toDouble() }.register(registry)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/BufferedBody.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/BufferedBody.kt
@@ -20,7 +20,7 @@
 internal class BufferedBody(
     private val maximumBytes: Int,
     private val memory: AnswerBufferBudget,
-    private val onAborted: (String) -> Unit,
+    var onAborted: (String) -> Unit,
 ) : BufferedAnswer {
     private var blocks = ArrayList<ByteArray>()
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
@@ -18,10 +19,10 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import org.arbutusnotch.core.forwarding.CallerLimits
+import org.arbutusnotch.core.forwarding.MemoryAccount
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.telemetry.EventLog
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.nio.charset.StandardCharsets
 import kotlin.time.Duration.Companion.milliseconds
@@ -49,18 +50,34 @@
 
     /** Closes the connection in the middle of the response, so that the caller sees it as incomplete. */
     public fun abort()
+
+    /** Closes the connection if the caller has not yet taken the whole response, which frees its memory. */
+    public fun dropUnwritten()
 }
 
 internal class CallerConnection(
     private val limits: CallerLimits,
     private val clock: Clock,
     private val handler: RequestHandler,
+    private var decoder: RequestDecoder?,
+    private val intake: ClientIntake,
+    private val countsAnswers: Boolean,
     private val onClosed: (CallerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private val log = EventLog("caller")
     private var context: ChannelHandlerContext? = null
     private val deferred = ArrayDeque<HttpObject>()
+
+    /** Memory of the deferred messages, of the request in progress and of the answer that is written, in bytes. */
     private var deferredBytes = 0
+    private var requestBytes = 0
+    private var answerBytes = 0
+    private val account = MemoryAccount { giveUpMemory() }
+    private val writeProgress = WriteProgress(clock)
+    private var closing = false
+    private var closed = false
+    private var resuming = false
+    private var rejectedAt: Timestamp? = null
     private var receiving: ReceivingRequest? = null
     private var current: ActiveResponse? = null
     private var rejected = false
@@ -89,18 +106,60 @@
     val hasUnwrittenAnswer: Boolean
         get() = lastWrite?.isDone == false
 
+    /** Whether the connection reads no more requests. */
+    val isRejected: Boolean
+        get() = rejected
+
+    /** Whether the connection may be closed to make room for others. */
+    val mayYield: Boolean
+        get() = current == null && !hasUnwrittenAnswer && !isUnread && !rejected && !closing
+
+    /** Time at which the client last sent something. */
+    val progressAt: Timestamp
+        get() = account.progressAt
+
+    private val mustDefer: Boolean
+        get() = current != null || hasUnwrittenAnswer || deferred.isNotEmpty()
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
+        account.progressAt = clock.now()
+        reserve()
     }
 
     /** Starts the head deadline: the decoder emits nothing until a head is complete. */
     fun onBytesReceived() {
         firstReadBy = null
-        if (headDeadline == null && current == null && receiving == null) {
+        account.progressAt = clock.now()
+        if (headDeadline == null && receiving == null && !mustDefer) {
             headDeadline = clock.now() + limits.headTimeout
         }
     }
 
+    /** Reserves the memory of the bytes that were read. */
+    fun onBytesDecoded() {
+        reserve()
+    }
+
+    /** Reserves the memory that the connection holds now; rejects it and returns false if there is not enough. */
+    private fun reserve(): Boolean {
+        if (rejected || closed) return false
+        account.mayYield = current == null && !hasUnwrittenAnswer
+        val decoderBytes = decoder?.heldBytes ?: 0
+        val bytes = CONNECTION_BYTES + decoderBytes + (receiving?.heldBytes ?: 0) + requestBytes + answerBytes
+        if (intake.budget.resize(account, bytes + deferredBytes, clock.now())) return true
+        giveUpMemory()
+        return false
+    }
+
+    /** Makes room for the memory of other connections. */
+    fun giveUpMemory(rejection: ClientRejection = ClientRejection.MEMORY) {
+        if (rejected || closed) return
+        intake.recordRejection(rejection)
+        val isReceiving = receiving != null || headDeadline != null
+        if (isReceiving && current == null) reject(RequestError.OVERLOADED) else close()
+    }
+
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         if (message !is HttpObject) {
             ReferenceCountUtil.release(message)
@@ -108,21 +167,65 @@
         }
         if (rejected) {
             ReferenceCountUtil.release(message)
-        } else if (current != null) {
+        } else if (mustDefer) {
             defer(message)
         } else {
             receive(message)
         }
     }
 
+    /** Keeps [message] until the response before it is written, and stops reading meanwhile. */
     private fun defer(message: HttpObject) {
-        deferred.addLast(message)
-        deferredBytes += (message as? HttpContent)?.content()?.readableBytes() ?: DEFERRED_HEAD_BYTES
-        if (deferredBytes <= limits.bodyBytes + limits.headBytes) return
+        val kept = if (message is HttpContent && message.content().isReadable) copyOf(message) else message
+        deferred.addLast(kept)
+        deferredBytes += memoryOf(kept)
+        setReading(false)
+        if (deferredBytes <= limits.bodyBytes + limits.headBytes * HEAP_PER_HEAD_BYTE) return
         log.warn("caller_pipelines_too_much") { field("bytes", deferredBytes) }
         close()
     }
 
+    /** Copies [content], which would keep the whole buffer of a read. */
+    private fun copyOf(content: HttpContent): HttpObject {
+        val bytes = ByteArray(content.content().readableBytes())
+        content.content().readBytes(bytes)
+        return content.replace(Unpooled.wrappedBuffer(bytes)).also { content.release() }
+    }
+
+    private fun memoryOf(message: HttpObject): Int = MESSAGE_BYTES + when (message) {
+        is HttpRequest -> message.headers().size() * HEAP_BYTES_PER_FIELD + limits.headBytes.coerceAtMost(MESSAGE_BYTES)
+        is HttpContent -> message.content().readableBytes()
+        else -> 0
+    }
+
+    private fun releaseDeferred() {
+        deferred.forEach { ReferenceCountUtil.release(it) }
+        deferred.clear()
+        deferredBytes = 0
+    }
+
+    private fun setReading(reading: Boolean) {
+        context?.channel()?.config()?.isAutoRead = reading
+    }
+
+    private fun resumeDeferred() {
+        // A request that is answered at once ends in here again.
+        if (resuming) return
+        resuming = true
+        try {
+            while (current == null && !rejected && !hasUnwrittenAnswer) {
+                val next = deferred.removeFirstOrNull() ?: break
+                deferredBytes -= memoryOf(next)
+                receive(next)
+            }
+        } finally {
+            resuming = false
+        }
+        if (closed || rejected) return
+        reserve()
+        if (deferred.isEmpty()) setReading(true)
+    }
+
     private fun receive(message: HttpObject) {
         try {
             if (message.decoderResult().isFailure) return reject(errorOf(message.decoderResult().cause()))
@@ -147,33 +250,56 @@
         }
         headDeadline = null
         receiving = ReceivingRequest(head, bodyDeadline = clock.now() + BODY_TIMEOUT)
+        reserve()
     }
 
     private fun receiveContent(content: HttpContent) {
         val request = receiving ?: return
         val bytes = content.content()
-        if (request.body.size() + bytes.readableBytes() > limits.bodyBytes) return reject(RequestError.BODY_TOO_LARGE)
-        bytes.readBytes(request.body, bytes.readableBytes())
-        if (content !is LastHttpContent) return
+        if (request.body.size + bytes.readableBytes() > limits.bodyBytes) return reject(RequestError.BODY_TOO_LARGE)
+        request.body.add(bytes)
+        if (content !is LastHttpContent || !reserve()) return
         receiving = null
+        requestBytes = request.heldBytes + ACTIVE_REQUEST_BYTES
         val closeRequested = request.head.header("connection").equals("close", ignoreCase = true)
         val response = ActiveResponse(closeRequested)
         current = response
-        val listener = handler.handle(HttpRequestMessage(request.head, request.body.toByteArray()), response)
+        val listener = handler.handle(HttpRequestMessage(request.head, request.body.complete()), response)
         if (current === response) response.disconnectListener = listener
     }
 
     private fun reject(error: RequestError) {
         rejected = true
+        rejectedAt = clock.now()
         receiving = null
-        log.info("request_rejected") { field("status", error.status) }
+        val isOverloaded = error == RequestError.OVERLOADED
+        if (!isOverloaded) log.info("request_rejected") { field("status", error.status) }
         val head = ResponseHead(
             error.status,
             error.reason,
-            listOf(HeaderField("Content-Length", "0"), HeaderField("Connection", "close")),
+            listOf(HeaderField("Content-Length", "0"), HeaderField("Connection", "close")) +
+                if (isOverloaded) listOf(HeaderField("Retry-After", RETRY_AFTER_SECONDS)) else emptyList(),
         )
-        context?.let {
-            it.writeAndFlush(HeadWriter.response(head, it.alloc())).addListener(ChannelFutureListener.CLOSE)
+        intake.budget.release(account)
+        releaseDeferred()
+        setReading(true)
+        val channel = context ?: return
+        val written = channel.writeAndFlush(HeadWriter.response(head, channel.alloc()))
+        dropDecoder(channel)
+        if (!isOverloaded) {
+            written.addListener(ChannelFutureListener.CLOSE)
+            return
+        }
+        // Closing while the client sends resets the connection, and the client might not see the response.
+        written.addListener { (channel.channel() as SocketChannel).shutdownOutput() }
+    }
+
+    /** Frees the incomplete head or trailers that the decoder holds, once it has returned from the current read. */
+    private fun dropDecoder(channel: ChannelHandlerContext) {
+        val dropped = decoder ?: return
+        decoder = null
+        channel.executor().execute {
+            if (channel.pipeline().context(dropped) != null) channel.pipeline().remove(dropped)
         }
     }
 
@@ -186,16 +312,13 @@
     private fun finish(response: ActiveResponse, close: Boolean) {
         if (current !== response) return
         current = null
+        requestBytes = 0
         idleSince = clock.now()
         if (close) {
             context?.writeAndFlush(Unpooled.EMPTY_BUFFER)?.addListener(ChannelFutureListener.CLOSE)
             return
         }
-        while (current == null && !rejected && deferred.isNotEmpty()) {
-            val next = deferred.removeFirst()
-            deferredBytes -= (next as? HttpContent)?.content()?.readableBytes() ?: DEFERRED_HEAD_BYTES
-            receive(next)
-        }
+        resumeDeferred()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
@@ -203,13 +326,14 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
+        closed = true
         val response = current
         current = null
         receiving = null
-        deferred.forEach { ReferenceCountUtil.release(it) }
-        deferred.clear()
+        releaseDeferred()
         onClosed(this)
         response?.disconnectListener?.onDisconnect()
+        intake.budget.release(account)
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
@@ -218,22 +342,57 @@
     }
 
     fun close() {
+        closing = true
         context?.close()
     }
 
-    /** Rejects a request that takes too long to arrive, and closes a connection that exceeds the idle timeout. */
+    /**
+     * Rejects a request that takes too long to arrive or stops arriving, and closes a connection that exceeds the idle
+     * timeout or whose client does not read.
+     */
     fun closeIfTimedOut(currentLimits: CallerLimits) {
         val now = clock.now()
-        val receiveDeadline = receiving?.bodyDeadline ?: headDeadline
+        val receiveDeadline = receiving?.let { minOf(it.bodyDeadline, account.progressAt + BODY_STALL_TIMEOUT) }
+            ?: headDeadline
+        val rejectedSince = rejectedAt
         when {
+            rejectedSince != null -> if (now >= rejectedSince + REJECTION_TIME) close()
+            isReadTooSlowly(currentLimits) -> closeStalled()
             current != null || rejected -> Unit
-            receiveDeadline != null -> if (now >= receiveDeadline) reject(RequestError.REQUEST_TIMEOUT)
-            now >= idleSince + currentLimits.idleTimeout -> close()
+            receiveDeadline != null -> if (now >= receiveDeadline) rejectStalled()
+            now >= idleSince + currentLimits.idleTimeout && !hasUnwrittenAnswer -> close()
         }
     }
 
+    private fun isReadTooSlowly(currentLimits: CallerLimits): Boolean {
+        val channel = context?.channel() ?: return false
+        return writeProgress.stalledFor(channel) >= currentLimits.idleTimeout
+    }
+
+    private fun rejectStalled() {
+        intake.recordRejection(ClientRejection.STALLED)
+        reject(RequestError.REQUEST_TIMEOUT)
+    }
+
+    private fun closeStalled() {
+        intake.recordRejection(ClientRejection.STALLED)
+        close()
+    }
+
     private class ReceivingRequest(val head: RequestHead, val bodyDeadline: Timestamp) {
-        val body = ByteArrayOutputStream()
+        val body = RequestBodyCollector()
+        private val headBytes =
+            head.target.length + head.headers.sumOf { it.name.length + it.value.length + HEAP_BYTES_PER_FIELD }
+
+        /** Memory of head and body. */
+        val heldBytes: Int
+            get() = headBytes + body.capacity
+    }
+
+    /** Continues with deferred requests, if there are any, once the current event is handled. */
+    private fun resumeLater() {
+        if (closed) return
+        if (deferred.isEmpty()) reserve() else context?.executor()?.execute { if (!closed) resumeDeferred() }
     }
 
     private inner class ActiveResponse(private val closeRequested: Boolean) : Responder {
@@ -255,11 +414,28 @@
             val close = closesConnection
             val lengthHeader = listOf(HeaderField("Content-Length", body.size.toString()))
             val framedHead = head.copy(headers = head.headers + lengthHeader + connectionHeaders(close))
+            if (countsAnswers) {
+                answerBytes = body.size
+                if (!reserve()) return onWritten()
+            }
             val bytes = HeadWriter.response(framedHead, allocator)
-            lastWrite = channel.writeAndFlush(bytes.writeBytes(body)).addListener { onWritten() }
+            ownWrite = channel.writeAndFlush(bytes.writeBytes(body)).addListener { onAnswerWritten(onWritten) }
+            lastWrite = ownWrite
             finish(this, close)
         }
 
+        private var ownWrite: ChannelFuture? = null
+
+        private fun onAnswerWritten(onWritten: () -> Unit) {
+            answerBytes = 0
+            onWritten()
+            resumeLater()
+        }
+
+        override fun dropUnwritten() {
+            if (ownWrite?.isDone == false) close()
+        }
+
         override fun startStreaming(head: ResponseHead) {
             if (current !== this) return
             val framing = HeaderField("Transfer-Encoding", "chunked")
@@ -280,7 +456,7 @@
 
         override fun end() {
             if (current !== this) return
-            lastWrite = context?.writeAndFlush(HeadWriter.lastChunk())
+            lastWrite = context?.writeAndFlush(HeadWriter.lastChunk())?.addListener { resumeLater() }
             finish(this, closesAtEnd)
         }
 
@@ -298,8 +474,23 @@
     private companion object {
         const val CONTINUE_RESPONSE = "HTTP/1.1 100 Continue\r\n\r\n"
 
-        /** Assumed size of a deferred head, whose encoded size is no longer known. */
-        const val DEFERRED_HEAD_BYTES = 512
+        /** Memory in bytes of a connection with its buffers, of a request in progress, and of a message or its text. */
+        const val CONNECTION_BYTES = 6_144
+        const val ACTIVE_REQUEST_BYTES = 8_192
+        const val MESSAGE_BYTES = 512
+
+        /** Memory in bytes of a header field besides its text, and of each byte of a head with the shortest fields. */
+        const val HEAP_BYTES_PER_FIELD = 192
+        const val HEAP_PER_HEAD_BYTE = 48
+
+        /** Time after which a client that was rejected for lack of memory may try again. */
+        const val RETRY_AFTER_SECONDS = "1"
+
+        /** Time in which a client takes the response that rejects it. */
+        val REJECTION_TIME = 1.seconds
+
+        /** Time in which a further part of a body must arrive. */
+        val BODY_STALL_TIMEOUT = 5.seconds
 
         /** Time in which the first bytes of a connection are read, also while there is little processor time. */
         val FIRST_READ_TIME = 300.milliseconds
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
@@ -4,16 +4,18 @@
 package org.arbutusnotch.forwarding.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.util.ReferenceCountUtil
 import org.arbutusnotch.core.forwarding.CallerLimits
 import org.arbutusnotch.telemetry.Clock
 import java.net.InetSocketAddress
@@ -38,6 +40,9 @@
  * Accepts connections and dispatches complete requests to [handler].
  *
  * @param limits returns the current limits; read when a connection is accepted and at each timeout check
+ * @param intake limits that all endpoints of the instance share
+ * @param maximumConnections number of open connections above which idle ones are closed or new ones are refused
+ * @param countsAnswers whether answers count against the memory for requests, since no other budget covers them
  */
 internal class HttpEndpoint(
     private val address: InetSocketAddress,
@@ -45,6 +50,9 @@
     private val clock: Clock,
     private val limits: () -> CallerLimits,
     private val handler: RequestHandler,
+    private val intake: ClientIntake,
+    private val maximumConnections: Int = Int.MAX_VALUE,
+    private val countsAnswers: Boolean = false,
 ) {
     private val connections = LinkedHashSet<CallerConnection>()
     private var channel: Channel? = null
@@ -70,22 +78,48 @@
             .option(ChannelOption.SO_BACKLOG, ACCEPT_QUEUE_CONNECTIONS)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
             .childHandler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(accepted: SocketChannel) = accept(accepted)
             })
             .bind(address).sync().channel()
     }
 
+    /** Reads once before the event loop turns to other connections; what one read brings is not reserved before. */
+    private fun receiveBuffers() =
+        AdaptiveRecvByteBufAllocator(SMALLEST_READ_BYTES, INITIAL_READ_BYTES, LARGEST_READ_BYTES).maxMessagesPerRead(1)
+
     private fun accept(accepted: SocketChannel) {
+        if (!makeRoom()) {
+            accepted.close()
+            return
+        }
         val currentLimits = limits()
-        val connection = CallerConnection(currentLimits, clock, handler, onClosed = { connections.remove(it) })
-        connection.closesAfterResponse = draining
-        connections += connection
         val decoderConfig = HttpDecoderConfig()
             .setMaxInitialLineLength(currentLimits.headBytes)
             .setMaxHeaderSize(currentLimits.headBytes)
             .setMaxChunkSize(MAXIMUM_CHUNK_BYTES)
-        accepted.pipeline().addLast(ReceiveNotifier(connection), HttpRequestDecoder(decoderConfig), connection)
+        val decoder = RequestDecoder(decoderConfig)
+        val connection = CallerConnection(currentLimits, clock, handler, decoder, intake, countsAnswers) {
+            connections.remove(it)
+        }
+        connection.closesAfterResponse = draining
+        connections += connection
+        accepted.pipeline().addLast(ReceiveNotifier(connection), decoder, connection)
+    }
+
+    /** Closes the connection that has sent nothing for longest at the bound, and returns whether there is room. */
+    private fun makeRoom(): Boolean {
+        if (connections.size < maximumConnections) return true
+        val longestIdle = connections.filter { it.mayYield }.minByOrNull { it.progressAt }
+        if (longestIdle == null) {
+            intake.recordRejection(ClientRejection.CONNECTIONS)
+            return false
+        }
+        longestIdle.giveUpMemory(ClientRejection.CONNECTIONS)
+        longestIdle.close()
+        return true
     }
 
     /** Closes connections that exceed a timeout; called a few times a second on the event loop. */
@@ -109,8 +143,13 @@
     /** Notifies [connection] of received bytes before they are decoded. */
     private class ReceiveNotifier(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (connection.isRejected) {
+                ReferenceCountUtil.release(message)
+                return
+            }
             connection.onBytesReceived()
             context.fireChannelRead(message)
+            connection.onBytesDecoded()
         }
     }
 
@@ -118,5 +157,14 @@
         /** Connections in the accept queue; a full queue delays a caller by a second. */
         const val ACCEPT_QUEUE_CONNECTIONS = 1_024
         const val MAXIMUM_CHUNK_BYTES = 65_536
+
+        /** Sizes in bytes of the buffers for one read. */
+        const val SMALLEST_READ_BYTES = 64
+        const val INITIAL_READ_BYTES = 2_048
+        const val LARGEST_READ_BYTES = 16_384
+
+        /** Unwritten bytes of a response above which its source is paused, and below which it continues. */
+        const val HIGH_WATER_BYTES = 16_384
+        const val LOW_WATER_BYTES = 8_192
     }
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/RequestBody.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/RequestBody.kt
@@ -10,7 +10,12 @@
 import io.netty.buffer.Unpooled
 
 /** Holds the bytes of a complete body. */
-public class RequestBody internal constructor(private val blocks: List<ByteArray>, public val size: Int) {
+public class RequestBody internal constructor(private var blocks: List<ByteArray>, public val size: Int) {
+    /** Frees the bytes when no further attempt will send them; buffers that are not written yet keep theirs. */
+    internal fun discard() {
+        blocks = emptyList()
+    }
+
     /** Calls [action] with each block and the number of bytes used in it, in order. */
     internal inline fun forEachBlock(action: (block: ByteArray, length: Int) -> Unit) {
         var remaining = size
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/RequestValidator.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/RequestValidator.kt
@@ -14,6 +14,7 @@
     TARGET_TOO_LONG(414, "URI Too Long"),
     HEAD_TOO_LARGE(431, "Request Header Fields Too Large"),
     UNKNOWN_TRANSFER_CODING(501, "Not Implemented"),
+    OVERLOADED(503, "Service Unavailable"),
     UNSUPPORTED_VERSION(505, "HTTP Version Not Supported"),
 }
 
