--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingSettings.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingSettings.kt
@@ -28,6 +28,7 @@
  * no limit
  * @property quotaTolerance what the requests of a workspace may exceed its quota by
  * @property pacesServers whether servers that have just started or recovered get fewer requests at a time
+ * @property maximumDescriptors open files and connections that the machine allows the instance; 0 when unknown
  */
 public data class ForwardingSettings(
     public val peerAddress: InstanceAddress,
@@ -47,4 +48,5 @@
     public val revocationTime: Duration? = null,
     public val quotaTolerance: QuotaTolerance = QuotaTolerance(),
     public val pacesServers: Boolean = false,
+    public val maximumDescriptors: Int = 0,
 )
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/exchange/QuotaAdmissionTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/exchange/QuotaAdmissionTest.kt
@@ -134,6 +134,8 @@
         override fun end() = Unit
 
         override fun abort() = Unit
+
+        override fun dropUnwritten() = Unit
     }
 
     @AfterEach
