Count a watch as waited whose answer comes a few milliseconds early

A watch of one second that the store ended a millisecond early confirmed the configuration only as of its sending, and was followed by a pause between calls. Timers are inexact, so 20 ms are allowed, and the confirmation is as much older.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -233,8 +233,10 @@
         val advanced = items.advanceTo(StorePosition(era, changes.storeRevision))
         val isFruitful = advanced || clock.now() >= begunAt + MINIMUM_WATCH_DURATION
         if (isFruitful) fruitlessCalls = 0
-        val hasWaited = changes.changes.isEmpty() && clock.now() >= begunAt + duration
-        onCurrent(begunAt, if (hasWaited) begunAt + duration else begunAt)
+        // The store has waited to the end of the duration, unless the answer arrives earlier than that.
+        val waitedUntil = begunAt + duration - WATCH_TOLERANCE
+        val hasWaited = changes.changes.isEmpty() && clock.now() >= waitedUntil
+        onCurrent(begunAt, if (hasWaited) waitedUntil else begunAt)
         if (isFruitful || asksOnce) proceed() else resumeLater()
     }
 
@@ -371,8 +373,11 @@
         /** Time after the end of the wait within which the response must arrive: many times that of a slow store. */
         val WATCH_MARGIN = 700.milliseconds
 
+        /** Time by which the store may end a wait early, since timers are inexact. */
+        val WATCH_TOLERANCE = 20.milliseconds
+
         /** Duration of a watch without changes below which the store has not waited for any. */
-        val MINIMUM_WATCH_DURATION = 1.seconds
+        val MINIMUM_WATCH_DURATION = 1.seconds - WATCH_TOLERANCE
 
         /** Time beyond which a missing step means that the following has stopped. */
         val STOPPED_MARGIN = 5.seconds
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/WorkspaceKeysTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/WorkspaceKeysTest.kt
@@ -9,6 +9,7 @@
 import org.arbutusnotch.core.workspace.Workspace
 import org.arbutusnotch.forwarding.fixture.InstanceFixture
 import org.arbutusnotch.forwarding.fixture.PausableClock
+import org.arbutusnotch.forwarding.fixture.RawCaller
 import org.arbutusnotch.forwarding.fixture.ReceivedResponse
 import org.arbutusnotch.forwarding.fixture.ScriptedServer
 import org.arbutusnotch.forwarding.fixture.StandInStore
@@ -24,7 +25,9 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import java.util.concurrent.Semaphore
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
@@ -38,8 +41,8 @@
     fun close() = resources.reversed().forEach { it.close() }
 
     /** Returns routes that need a key, except `/once/`. */
-    private fun routes(vararg keys: String, revision: Long = 1): RouteTable {
-        val table = testRoutes(revision)
+    private fun routes(vararg keys: String, revision: Long = 1, objective: Duration = 200.milliseconds): RouteTable {
+        val table = testRoutes(revision, objective = objective)
         return RouteTable(
             revision = table.revision,
             routes = table.routes.map { it.copy(requiresKey = it.name != "once") },
@@ -176,11 +179,57 @@
         expectThat(server.requests.map { it.header("key") }).all { isNull() }
     }
 
+    /** Guards against a workspace whose requests wait with the priority of the route instead of its own. */
+    @Test
+    fun `priority of the workspace takes precedence over that of the route`() {
+        val held = Semaphore(0)
+        val slow = ScriptedServer {
+            held.acquire()
+            answer()
+        }.also { resources += it }
+        val table = routes("k", objective = 2.seconds)
+        val urgent = Workspace(WorkspaceId("urgent"), setOf(ContentDigest("u")), priority = 0)
+        val workspaces = table.workspaces.orEmpty() + urgent
+        val keyed = table.routes.map { it.copy(requiresKey = true) }
+        val instance = instance(
+            address = slow.address,
+            routes = RouteTable(table.revision, keyed, table.pools, table.limits, workspaces),
+        )
+        fun begin(key: String, id: String) = RawCaller(instance.front).also { resources += it }
+            .write(instance.request("/once/x", id, headers = "key: $key\r\n"))
+        var sent = 0
+        while (slow.requests.size == sent) {
+            begin("k", "usual-$sent")
+            sent += 1
+            var steps = 0
+            while (slow.requests.size < sent && steps++ < WAITING_STEPS) Thread.sleep(STEP_MILLIS)
+        }
+        val running = slow.requests.size
+        begin("u", "urgent")
+        Thread.sleep(STEP_MILLIS)
+        held.release()
+        awaitUntil("a waiting request runs") { slow.requests.size > running }
+        expectThat(slow.requests[running].header("id")).isEqualTo("urgent")
+        held.release(sent)
+    }
+
+    /** Guards against a stream that is taken up without a key. */
+    @Test
+    fun `stream is taken up only with a key`() {
+        val instance = instance()
+        awaitUntil("a missing key is rejected") {
+            instance.send(null, "/resumable/x", "resumes: r0\r\nafter: 1\r\n")?.status == UNAUTHORIZED
+        }
+    }
+
     private companion object {
         const val OK = 200
         const val UNAUTHORIZED = 401
         const val UNAVAILABLE = 503
         const val STEP_MILLIS = 50L
+
+        /** Steps after which a request that has not reached its server waits for a place. */
+        const val WAITING_STEPS = 10
         const val PAUSE_MILLIS = 1_000L
     }
 }
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/RecordingListener.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/RecordingListener.kt
@@ -5,12 +5,14 @@
 
 import io.netty.channel.EventLoopGroup
 import org.arbutusnotch.core.forwarding.AnswerBufferBudget
+import org.arbutusnotch.core.forwarding.WatchTime
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.forwarding.fixture.StandInStore
 import org.arbutusnotch.forwarding.http.socketAddress
 import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.telemetry.MonotonicClock
 import kotlin.random.Random
+import kotlin.time.Duration
 
 /** Records whether a follower has listed the store. */
 internal class RecordingListener : StoreListener {
@@ -34,6 +36,8 @@
     group: EventLoopGroup,
     listener: StoreListener = RecordingListener(),
     clock: Clock = MonotonicClock(),
+    watchTime: Duration = WatchTime.of(instances = 1),
+    onCurrent: (sentAt: Timestamp, validAt: Timestamp) -> Unit = { _, _ -> },
 ) = StoreFollower(
     prefix = "servers/",
     address = socketAddress(store.address),
@@ -43,4 +47,6 @@
     random = Random(1),
     listener = listener,
     memory = AnswerBufferBudget(1_000_000),
+    watchTime = { watchTime },
+    onCurrent = onCurrent,
 )
