--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/workspace/QuotaLedger.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/workspace/QuotaLedger.kt
@@ -109,7 +109,6 @@
     public fun giveBack(ticket: TicketId, workspace: WorkspaceId, now: Timestamp): Boolean {
         val units = known(ticket, now)?.units ?: 0.0
         exceeded.remove(ticket)
-        tickets.remove(ticket)
         remember(tickets, ticket, Ticket(QuotaDecision.Granted, units = 0.0, now + TICKET_MEMORY))
         if (units > 0) accounts[workspace]?.bucket?.putBack(units, now)
         return units > 0
@@ -130,6 +129,8 @@
     }
 
     private fun remember(map: LinkedHashMap<TicketId, Ticket>, ticket: TicketId, entry: Ticket) {
+        // A ticket that is recorded again moves to the end, so that the order stays that of the times.
+        map.remove(ticket)
         if (map.size >= MAXIMUM_TICKETS) map.remove(map.keys.first())
         map[ticket] = entry
     }
