Discard answers whose server resets the connection after their end

A server that answers a long upload early without a length or chunks, ends its output and resets the connection 50 ms later left the part that it had sent as a complete answer, since the connection was closed at its end.

The connection now stays open in the other direction while the server is probed for a crash. An answer that ends before the whole request is written, or whose connection was reset by the end of the check, counts as broken, also that of a prefill. After the end of the input only a write shows a reset, so that an empty line is written at the end of the check.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -175,8 +175,10 @@
         override fun onEnd(end: CallEnd) {
             if (isEnded) return
             endedAt = context.now()
-            checkUnframedEnd(end, place.server, startedAt, confirmBy()) { crashed ->
-                if (!isEnded) end(if (crashed) AttemptResult.Unknown("server crashed") else resultOf(end))
+            val endedByClose = end is CallEnd.Complete && end.endedByClose
+            val wasReset = { call?.wasResetAfterEnd() ?: false }
+            checkUnframedEnd(endedByClose, place.server, startedAt, confirmBy(), wasReset) { known ->
+                if (!isEnded) end(if (known == UnframedEnd.INTACT) resultOf(end) else broken(known))
             }
         }
 
@@ -198,6 +200,9 @@
             checkForCrash(closedByServer, place.server, startedAt) { onAttemptEnd(this, result) }
         }
 
+        private fun broken(end: UnframedEnd) =
+            AttemptResult.Unknown(end.detail, closedByServer = end == UnframedEnd.RESET)
+
         private fun resultOf(end: CallEnd): AttemptResult = when (end) {
             is CallEnd.NotSent -> notRun(PlaceOutcome.UNREACHABLE, end.detail, received = false)
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -515,27 +515,31 @@
     }
 
     /**
-     * Calls [onKnown] with whether [server], to which the request was sent at [begunAt], crashed at the [end] of its
-     * answer, at the latest at [confirmBy]; at once unless only the end of the connection marks the end of the answer,
-     * as a crash does too.
+     * Calls [onKnown] with how [server], to which the request was sent at [begunAt], ended its answer, at the latest at
+     * [confirmBy]; at once unless only the end of the connection marked its end, as a crash does too.
+     *
+     * @param wasReset returns whether the server has reset the connection since its end
      */
     protected fun checkUnframedEnd(
-        end: CallEnd,
+        endedByClose: Boolean,
         server: BackendServer,
         begunAt: Timestamp,
         confirmBy: Timestamp,
-        onKnown: (crashed: Boolean) -> Unit,
+        wasReset: () -> Boolean,
+        onKnown: (UnframedEnd) -> Unit,
     ) {
-        if (end !is CallEnd.Complete || !end.endedByClose) return onKnown(false)
+        if (!endedByClose) return onKnown(UnframedEnd.INTACT)
         val run = closedRun(server, begunAt)
         context.crashReporter.onUnframedEnd(run, confirmBy) { crashed ->
+            val isReset = wasReset()
             log.info("unframed_end_checked") {
                 field("request", request.caller.id)
                 field("server", server.id)
                 field("crashed", crashed)
+                field("reset", isReset)
                 field("checked_millis", (context.now() - run.closedAt).inWholeMilliseconds)
             }
-            onKnown(crashed)
+            onKnown(if (crashed) UnframedEnd.CRASHED else if (isReset) UnframedEnd.RESET else UnframedEnd.INTACT)
         }
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -9,6 +9,7 @@
  */
 package org.arbutusnotch.forwarding.exchange
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getError
@@ -190,14 +191,32 @@
             memory = context.answerBufferBudget,
             maximumBytes = MAXIMUM_PREFILL_ANSWER_BYTES,
             maySend = { maySendPrefill(server) },
-        ) { result ->
-            val closedByServer = (result.getError() as? CallEnd.Broken)?.closedByServer ?: false
-            checkForCrash(closedByServer, server, startedAt) { onPrefillEnd(result, place, startedAt) }
-        }
+        ) { result -> checkPrefillEnd(result, place, server, startedAt) }
         prefill = call
         call.start(socketAddress(server.address), context.group)
     }
 
+    /** A handle is used only if its answer is complete, since a part of one may name another prompt. */
+    private fun checkPrefillEnd(
+        result: Result<HttpResponseMessage, CallEnd>,
+        place: GrantedPlace,
+        server: BackendServer,
+        startedAt: Timestamp,
+    ) {
+        val call = prefill
+        val wasReset = { call?.wasResetAfterEnd() ?: false }
+        val confirmBy = deadlineAt - CONFIRMATION_MARGIN
+        checkUnframedEnd(call?.endedByClose ?: false, server, startedAt, confirmBy, wasReset) { known ->
+            val checked = if (known == UnframedEnd.INTACT) {
+                result
+            } else {
+                Err(CallEnd.Broken(known.detail, closedByServer = known == UnframedEnd.RESET))
+            }
+            val closedByServer = (checked.getError() as? CallEnd.Broken)?.closedByServer ?: false
+            checkForCrash(closedByServer, server, startedAt) { onPrefillEnd(checked, place, startedAt) }
+        }
+    }
+
     private fun onPrefillEnd(result: Result<HttpResponseMessage, CallEnd>, place: GrantedPlace, startedAt: Timestamp) {
         if (finished || this.place !== place) return
         prefill = null
@@ -628,8 +647,10 @@
             cancelSearch()
             if (this === stalledRun && end is CallEnd.Complete && serverAnswer?.notRun != true) keepStalledRun()
             val confirmBy = deadlineAt - CONFIRMATION_MARGIN
-            checkUnframedEnd(end, server, startedAt, confirmBy) { crashed ->
-                if (!isEnded) end(if (crashed) RunEnd.Broken("server crashed") else resultOf(end))
+            val endedByClose = end is CallEnd.Complete && end.endedByClose
+            val wasReset = { call?.wasResetAfterEnd() ?: false }
+            checkUnframedEnd(endedByClose, server, startedAt, confirmBy, wasReset) { known ->
+                if (!isEnded) end(if (known == UnframedEnd.INTACT) resultOf(end) else broken(known))
             }
         }
 
@@ -665,6 +686,9 @@
             is RunEnd.Broken -> PlaceOutcome.BROKEN
         }
 
+        private fun broken(end: UnframedEnd) =
+            RunEnd.Broken(end.detail, closedByServer = end == UnframedEnd.RESET)
+
         private fun resultOf(end: CallEnd): RunEnd = when (end) {
             is CallEnd.NotSent -> notRun(PlaceOutcome.UNREACHABLE, end.detail, received = false)
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/BufferedCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/BufferedCall.kt
@@ -36,6 +36,13 @@
     private var head: ResponseHead? = null
     private var finished = false
 
+    /** Whether only the end of the connection marked the end of the response. */
+    var endedByClose = false
+        private set
+
+    /** Returns whether the server reset the connection after it [endedByClose], and closes it. */
+    fun wasResetAfterEnd(): Boolean = call.wasResetAfterEnd()
+
     fun start(address: InetSocketAddress, group: EventLoopGroup) {
         group.schedule({ abort("response timed out") }, responseTimeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         call.start(address, group)
@@ -71,6 +78,7 @@
     override fun onEnd(end: CallEnd) {
         val received = head
         if (end is CallEnd.Complete && received != null) {
+            endedByClose = end.endedByClose
             finish(Ok(HttpResponseMessage(received, body.bytes())))
         } else {
             finish(Err(end))
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
@@ -8,6 +8,7 @@
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
 import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
@@ -16,6 +17,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -33,6 +35,7 @@
 import org.arbutusnotch.core.forwarding.BufferedAnswer
 import java.net.ConnectException
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
 /** Describes how a [ServerCall] ended. */
@@ -40,7 +43,8 @@
     /**
      * The response is complete.
      *
-     * @property endedByClose whether only the end of the connection marks its end, without a length or chunks
+     * @property endedByClose whether only the end of the connection marks its end, without a length or chunks; the
+     * connection stays open for a moment then, so that [ServerCall.wasResetAfterEnd] can tell whether it was reset
      */
     data class Complete(val endedByClose: Boolean = false) : CallEnd()
 
@@ -91,6 +95,7 @@
     private var channel: Channel? = null
     private var ended = false
     private var failure: String? = null
+    private var isRequestWritten = false
     private var headReceived = false
     private var endsWithConnection = false
     private var receivedBytes = 0L
@@ -109,6 +114,7 @@
             .group(group)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
@@ -145,6 +151,7 @@
         }
         val bytes = HeadWriter.request(request.head, request.body, opened.alloc())
         opened.writeAndFlush(bytes).addListener { written ->
+            isRequestWritten = written.isSuccess
             if (!written.isSuccess && failure == null) failure = describe(written.cause())
         }
     }
@@ -161,14 +168,32 @@
         channel?.config()?.isAutoRead = reading
     }
 
+    /**
+     * Closes the connection of a call that ended as [CallEnd.Complete] with `endedByClose`, and returns whether the
+     * server has reset it since. After the end of the input only a failed write shows a reset, so that an empty line is
+     * written, which a server ignores that has ended its output.
+     */
+    fun wasResetAfterEnd(): Boolean {
+        val opened = channel ?: return false
+        val isReset = opened.isActive && opened.writeAndFlush(Unpooled.wrappedBuffer(EMPTY_LINE)).cause() != null
+        opened.close()
+        return isReset
+    }
+
     private fun end(end: CallEnd) {
         if (ended) return
         ended = true
         memory.release(heldHead)
-        channel?.close()
+        if (end is CallEnd.Complete && end.endedByClose) closeLater() else channel?.close()
         listener.onEnd(end)
     }
 
+    /** Closes the connection in case that the listener does not ask whether it was reset. */
+    private fun closeLater() {
+        val opened = channel ?: return
+        opened.eventLoop().schedule({ opened.close() }, RESET_CHECK_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
     /** Distinguishes a timeout from a refusal: in Netty the timeout exception is a subclass of [ConnectException]. */
     private fun connectFailure(cause: Throwable) =
         CallEnd.NotSent(describe(cause), refused = cause is ConnectException && cause !is ConnectTimeoutException)
@@ -247,7 +272,19 @@
                 return
             }
             if (content.content().isReadable) listener.onContent(content.content()) else content.release()
-            if (last) end(CallEnd.Complete(endsWithConnection))
+            if (last) end(if (endsWithConnection) unframedEnd() else CallEnd.Complete())
+        }
+
+        /** A server that ends its connection before it has the whole request may reset it without having answered. */
+        private fun unframedEnd() = if (isRequestWritten) {
+            CallEnd.Complete(endedByClose = true)
+        } else {
+            connectionClosed("connection closed before the end of the request")
+        }
+
+        /** The server has ended its output; an answer that only this completes has ended before. */
+        override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+            if (event is ChannelInputShutdownEvent) end(connectionClosed(failure ?: CLOSED_EARLY))
         }
 
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
@@ -256,13 +293,18 @@
         }
 
         override fun channelInactive(context: ChannelHandlerContext) {
-            end(connectionClosed(failure ?: "connection closed before the end of the response"))
+            end(connectionClosed(failure ?: CLOSED_EARLY))
         }
     }
 
     private companion object {
         const val FIRST_FINAL_STATUS = 200
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
+        const val CLOSED_EARLY = "connection closed before the end of the response"
+        val EMPTY_LINE = byteArrayOf('\r'.code.toByte(), '\n'.code.toByte())
+
+        /** Time for which a connection stays open after the end of an answer that has neither a length nor chunks. */
+        const val RESET_CHECK_MILLIS = 1_000L
         const val TIMEOUT_MESSAGE = "timed out"
         const val HEAD_EVICTED = "response buffer budget exhausted by a head or trailers"
 
