--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
@@ -8,6 +8,7 @@
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
 import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
@@ -16,11 +17,13 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -33,6 +36,7 @@
 import org.arbutusnotch.core.forwarding.BufferedAnswer
 import java.net.ConnectException
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
 /** Describes how a [ServerCall] ended. */
@@ -40,7 +44,8 @@
     /**
      * The response is complete.
      *
-     * @property endedByClose whether only the end of the connection marks its end, without a length or chunks
+     * @property endedByClose whether only the end of the connection marks its end, without a length or chunks; the
+     * connection stays open for a moment then, so that [ServerCall.wasResetAfterEnd] can tell whether it was reset
      */
     data class Complete(val endedByClose: Boolean = false) : CallEnd()
 
@@ -91,6 +96,7 @@
     private var channel: Channel? = null
     private var ended = false
     private var failure: String? = null
+    private var isRequestWritten = false
     private var headReceived = false
     private var endsWithConnection = false
     private var receivedBytes = 0L
@@ -113,6 +119,7 @@
             .group(group)
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
@@ -162,7 +169,10 @@
         writing = true
         do {
             while (opened.isWritable && unsent.isNotEmpty()) {
-                opened.write(unsent.removeFirst()).addListener { written ->
+                val part = unsent.removeFirst()
+                val isLast = unsent.isEmpty()
+                opened.write(part).addListener { written ->
+                    if (isLast) isRequestWritten = written.isSuccess
                     if (!written.isSuccess && failure == null) failure = describe(written.cause())
                 }
             }
@@ -189,15 +199,33 @@
         channel?.config()?.isAutoRead = reading
     }
 
+    /**
+     * Closes the connection of a call that ended as [CallEnd.Complete] with `endedByClose`, and returns whether the
+     * server has reset it since. After the end of the input only a failed write shows a reset, so that an empty line is
+     * written, which a server ignores that has ended its output.
+     */
+    fun wasResetAfterEnd(): Boolean {
+        val opened = channel ?: return false
+        val isReset = opened.isActive && opened.writeAndFlush(Unpooled.wrappedBuffer(EMPTY_LINE)).cause() != null
+        opened.close()
+        return isReset
+    }
+
     private fun end(end: CallEnd) {
         if (ended) return
         ended = true
         dropUnsent()
         memory.release(heldHead)
-        channel?.close()
+        if (end is CallEnd.Complete && end.endedByClose) closeLater() else channel?.close()
         listener.onEnd(end)
     }
 
+    /** Closes the connection in case that the listener does not ask whether it was reset. */
+    private fun closeLater() {
+        val opened = channel ?: return
+        opened.eventLoop().schedule({ opened.close() }, RESET_CHECK_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
     /** Distinguishes a timeout from a refusal: in Netty the timeout exception is a subclass of [ConnectException]. */
     private fun connectFailure(cause: Throwable) =
         CallEnd.NotSent(describe(cause), refused = cause is ConnectException && cause !is ConnectTimeoutException)
@@ -251,7 +279,13 @@
 
         private fun receiveHead(response: HttpResponse) {
             interim = response.status().code() < FIRST_FINAL_STATUS
-            if (interim) return
+            if (interim) {
+                val hasBody = response.headers().let {
+                    it.contains(HttpHeaderNames.CONTENT_LENGTH) || it.contains(HttpHeaderNames.TRANSFER_ENCODING)
+                }
+                if (hasBody) end(CallEnd.Broken("malformed response: body of status ${response.status().code()}"))
+                return
+            }
             headReceived = true
             endsWithConnection =
                 !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response) &&
@@ -276,7 +310,19 @@
                 return
             }
             if (content.content().isReadable) listener.onContent(content.content()) else content.release()
-            if (last) end(CallEnd.Complete(endsWithConnection))
+            if (last) end(if (endsWithConnection) unframedEnd() else CallEnd.Complete())
+        }
+
+        /** A server that ends its connection before it has the whole request may reset it without having answered. */
+        private fun unframedEnd() = if (isRequestWritten) {
+            CallEnd.Complete(endedByClose = true)
+        } else {
+            connectionClosed("connection closed before the end of the request")
+        }
+
+        /** The server has ended its output; an answer that only this completes has ended before. */
+        override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+            if (event is ChannelInputShutdownEvent) end(connectionClosed(failure ?: CLOSED_EARLY))
         }
 
         override fun channelWritabilityChanged(context: ChannelHandlerContext): Unit = writeUnsent()
@@ -287,13 +333,18 @@
         }
 
         override fun channelInactive(context: ChannelHandlerContext) {
-            end(connectionClosed(failure ?: "connection closed before the end of the response"))
+            end(connectionClosed(failure ?: CLOSED_EARLY))
         }
     }
 
     private companion object {
         const val FIRST_FINAL_STATUS = 200
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
+        const val CLOSED_EARLY = "connection closed before the end of the response"
+        val EMPTY_LINE = byteArrayOf('\r'.code.toByte(), '\n'.code.toByte())
+
+        /** Time for which a connection stays open after the end of an answer that has neither a length nor chunks. */
+        const val RESET_CHECK_MILLIS = 1_000L
         const val TIMEOUT_MESSAGE = "timed out"
         const val HEAD_EVICTED = "response buffer budget exhausted by a head or trailers"
 
@@ -319,12 +370,23 @@
     }
 }
 
-/** Decodes one response; the response to a HEAD request has no body. */
+/**
+ * Decodes one response; the response to a HEAD request has no body. A status that is no number of three digits from 100
+ * to 599 makes it malformed, and so does an interim status with a body or one that ends HTTP on the connection.
+ */
 private class ResponseDecoder(private val isHead: Boolean) :
     HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEAD_BYTES).setMaxChunkSize(MAXIMUM_CHUNK_BYTES)) {
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isHead || super.isContentAlwaysEmpty(message)
 
+    override fun createMessage(initialLine: Array<out String>): HttpMessage {
+        val status = initialLine[1]
+        require(STATUS.matches(status) && status != SWITCHING_PROTOCOLS) { "invalid status $status" }
+        return super.createMessage(initialLine)
+    }
+
     private companion object {
+        val STATUS = Regex("[1-5][0-9]{2}")
+        const val SWITCHING_PROTOCOLS = "101"
         const val MAXIMUM_HEAD_BYTES = 65_536
         const val MAXIMUM_CHUNK_BYTES = 65_536
     }
