Refuse late requests that the pool cannot serve as soon as that is known

A late request waited until its own time had run out, a median of 4 s in a burst, also when the queue ahead of it left it no chance. QueueLimit now adds up the work of the queue at each tick; late ones count on the capacity that new requests leave. A new request is not refused because of late requests that go behind it. Fair shares plan with the whole slack, since postponed requests may now be refused.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/DispatchOrder.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/DispatchOrder.kt
@@ -46,14 +46,13 @@
         selection: PlaceSelection,
         now: Timestamp,
         postponed: Set<TicketId> = emptySet(),
-    ): List<RankedRequest> =
-        entries.mapIndexed { position, entry ->
-            RankedRequest(
-                entry = entry,
-                isLate = now + selection.expectedTimeToFirstEvent(entry, now) > entry.objectiveAt,
-                isPostponed = entry.ticket in postponed,
-                dueAt = entry.objectiveAt + selection.expectedRunTime(entry) * RUN_TIME_WEIGHT,
-                position = position,
-            )
-        }
+    ): List<RankedRequest> = entries.mapIndexed { position, entry ->
+        RankedRequest(
+            entry = entry,
+            isLate = now + selection.expectedTimeToFirstEvent(entry, now) > entry.objectiveAt,
+            isPostponed = entry.ticket in postponed,
+            dueAt = entry.objectiveAt + selection.expectedRunTime(entry) * RUN_TIME_WEIGHT,
+            position = position,
+        )
+    }
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/DispatchPolicy.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/DispatchPolicy.kt
@@ -8,8 +8,10 @@
  *
  * @property usesServerSpeeds whether runs are placed by the observed speed of each decode server
  * @property sharesFairly whether workspaces, routes and failure domains share the capacity if it is too small for all
+ * @property refusesEarly whether late requests that exceed the capacity are refused before their time has run out
  */
 public data class DispatchPolicy(
     public val usesServerSpeeds: Boolean = true,
     public val sharesFairly: Boolean = true,
+    public val refusesEarly: Boolean = true,
 )
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/FairOrder.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/FairOrder.kt
@@ -1,10 +1,10 @@
 /*
  * Shares a pool that has too little capacity between workspaces, routes and the failure domains of callers.
  *
- * Inside one priority, requests of the workspace that has recently had most service are postponed until the others can
- * be on time, there those of the route and then of the failure domain that has had most. A workspace with many times its
- * usual load delays its own requests that way, and a rare kind of request is served at least as often as a frequent one.
- * The requests that are not postponed keep their order, which is that of [RankedRequest].
+ * Inside one priority, requests of the workspace that has recently had most service are postponed until the others
+ * can be on time, there those of the route and then of the failure domain that has had most. A workspace with many
+ * times its usual load delays its own requests that way, and a rare kind of request is served at least as often as a
+ * frequent one. The requests that are not postponed keep their order, which is that of [RankedRequest].
  */
 package org.arbutusnotch.core.dispatch
 
@@ -96,7 +96,7 @@
         val first = candidates.firstOrNull()?.entry ?: return emptySet()
         if (candidates.all { it.entry.isOfSameFlow(first) }) return emptySet()
         val postponed = HashSet<TicketId>()
-        var wait = ranked.filter { it.entry.begun }.fold(Duration.ZERO) { sum, it -> sum + costOf(it) }
+        var wait = ranked.filter { it.entry.begun }.fold(Duration.ZERO) { sum, request -> sum + costOf(request) }
         candidates.sorted().groupBy { it.entry.priority }.forEach { (_, members) ->
             val plan = ArrayList<Planned>()
             members.forEach { request ->
@@ -139,7 +139,7 @@
 
     private fun slackOf(request: RankedRequest): Duration {
         val entry = request.entry
-        return (entry.objectiveAt - now - selection.expectedTimeToFirstEvent(entry, now)) * USABLE_SLACK
+        return entry.objectiveAt - now - selection.expectedTimeToFirstEvent(entry, now)
     }
 
     private fun WaitingRequest.isOfSameFlow(other: WaitingRequest): Boolean =
@@ -173,8 +173,5 @@
 
         /** Share of the expected run time that counts like a later objective in the choice of postponed requests. */
         const val RUN_TIME_WEIGHT = 0.25
-
-        /** Share of the time until it would be late that a request is planned to wait; predictions are often far off. */
-        const val USABLE_SLACK = 0.5
     }
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -96,8 +96,8 @@
     }
 
     /**
-     * Returns the servers that may take [entry] at [now]: neither excluded nor left to others by [reservations], not paused for
-     * its holder, and healthy. Their capacity and request limits are not considered.
+     * Returns the servers that may take [entry] at [now]: neither excluded nor left to others by [reservations], not
+     * paused for its holder, and healthy. Their capacity and request limits are not considered.
      */
     protected fun eligibleServers(
         entry: WaitingRequest,
@@ -251,7 +251,7 @@
         val smallest = entries.minOfOrNull { (it.work as? DispatchWork.Generation)?.let(::reservedTokens) ?: 0 } ?: 0
         val open = snapshot.runServers.filter { hasRoom(it, smallest, now) }
         return open.any { it.directPrefills(now) < MAXIMUM_DIRECT_PREFILLS } ||
-            open.isNotEmpty() && snapshot.prefillServers.any { hasPrefillCapacity(it, now) }
+            (open.isNotEmpty() && snapshot.prefillServers.any { hasPrefillCapacity(it, now) })
     }
 
     /** Places the prefill at the version of the run, because versions cannot read each other's key-value caches. */
@@ -330,7 +330,8 @@
         if (policy.usesServerSpeeds) snapshot.relativeTimes[tracked] ?: 1.0 else 1.0
 
     override fun tooSlowServers(entry: WaitingRequest, now: Timestamp): Set<BackendServerId> {
-        if (!policy.usesServerSpeeds || snapshot.relativeTimes.values.none { it >= SLOW_RELATIVE_TIME }) return emptySet()
+        val hasSlowServers = snapshot.relativeTimes.values.any { it >= SLOW_RELATIVE_TIME }
+        if (!policy.usesServerSpeeds || !hasSlowServers) return emptySet()
         val timeLeft = entry.deadlineAt - now - minimumTimeToFirstEvent(entry, now)
         val runTime = expectedRunTime(entry)
         val (tooSlow, others) = snapshot.optionsOf(entry).servers.partition {
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -33,10 +33,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Queues, places and refuses the requests of one pool. */
-public class PoolDispatcher(
-    private val budget: RetryBudget,
-    private val policy: DispatchPolicy = DispatchPolicy(),
-) {
+public class PoolDispatcher(private val budget: RetryBudget, private val policy: DispatchPolicy = DispatchPolicy()) {
     private val trackedServers = LinkedHashMap<BackendServerId, TrackedServer>()
     private val waiting = LinkedHashMap<TicketId, WaitingRequest>()
     private val recentGrants = LinkedHashMap<TicketId, RecentGrant>()
@@ -46,6 +43,11 @@
     private val recentHolders = HashMap<InstanceAddress, Timestamp>()
     private val relays = RelayCandidates()
     private val shares = ServiceShares()
+    private val arrivalLoad = ArrivalLoad()
+
+    /** Number of late requests that were refused because of the queue ahead of them. */
+    public var earlyRefusals: Int = 0
+        private set
 
     /** Requests that make room for others of their priority, as of the latest tick. */
     private var postponed: Set<TicketId> = emptySet()
@@ -140,6 +142,7 @@
             budget.startRampUp(now)
         }
         selection.beginPass(now)
+        if (entry.objectiveAt > now) arrivalLoad.observe(selection.timePerRequest(entry), now)
         val refusal = refusalReason(request, entry, now)
         if (refusal != null) return listOf(entry.refused(refusal, now))
         waiting[request.ticket] = entry
@@ -268,7 +271,7 @@
         waiting.values.removeIf { it.expiresAt <= now }
         shares.expire(now)
         updatePostponed(now)
-        return dispatchWaiting(now, refusesHopeless = true)
+        return refuseExcess(now) + dispatchWaiting(now, refusesHopeless = true)
     }
 
     private fun updatePostponed(now: Timestamp) {
@@ -278,11 +281,24 @@
         postponed = FairOrder(selection, shares, now).postponed(DispatchOrder.rank(waiting.values, selection, now))
     }
 
+    /** Refuses the late requests that the pool cannot serve after those ahead of them. */
+    private fun refuseExcess(now: Timestamp): List<DispatchDecision> {
+        if (!policy.refusesEarly || waiting.isEmpty() || now < placesKnownAt) return emptyList()
+        selection.beginPass(now)
+        val ranked = DispatchOrder.rank(waiting.values, selection, now, postponed)
+        return QueueLimit(selection, arrivalLoad.remainingShare(now), now).excess(ranked).map {
+            waiting.remove(it.entry.ticket)
+            earlyRefusals += 1
+            val retryAfter = maxOf(it.retryAfter, MINIMUM_RETRY_DELAY)
+            DispatchDecision.Refused(it.entry.ticket, it.entry.holder, DispatchRefusal.OVERLOADED, retryAfter)
+        }
+    }
+
     private fun refusalReason(request: DispatchRequest, entry: WaitingRequest, now: Timestamp): DispatchRefusal? {
         val ahead = waitingAhead(entry)
         noServerReason(entry, ahead, now)?.let { return it }
         val refusal = when {
-            missesDeadline(entry, ahead, now) -> DispatchRefusal.OVERLOADED
+            missesDeadline(entry, rankedAhead(entry, ahead, now), now) -> DispatchRefusal.OVERLOADED
             request.repeats > 0 && !budget.tryAcquire(now, request.repeats) -> DispatchRefusal.RETRY_BUDGET
             else -> null
         }
@@ -294,6 +310,16 @@
     private fun waitingAhead(entry: WaitingRequest): Int =
         if (entry.begun) waiting.values.count { it.begun && it.version == entry.version } else waiting.size
 
+    /**
+     * Returns how many of [ahead] waiting requests get places before [entry]. Late ones do not go before one that can
+     * be on time; those of them that lose their chance are refused instead.
+     */
+    private fun rankedAhead(entry: WaitingRequest, ahead: Int, now: Timestamp): Int {
+        if (!policy.refusesEarly || ahead == 0) return ahead
+        val ranked = DispatchOrder.rank(waiting.values + entry, selection, now, postponed)
+        return minOf(ahead, ranked.count { it < ranked.last() })
+    }
+
     /** Returns the reason why no server of the pool can take [entry] in time after [ahead] other requests, or null. */
     private fun noServerReason(entry: WaitingRequest, ahead: Int, now: Timestamp): DispatchRefusal? {
         val options = selection.snapshot.optionsOf(entry)
@@ -342,15 +368,9 @@
         val queue = PriorityQueue(DispatchOrder.rank(waiting.values, selection, now, postponed))
         while (queue.isNotEmpty()) {
             val entry = queue.poll().entry
-            val refused = refuseIfHopeless(entry, now)
-            if (refused != null) {
-                decisions += refused
-                continue
-            }
-            val places = place(entry, reservations, now)
-            if (places != null) {
-                waiting.remove(entry.ticket)
-                decisions += grant(entry, places, now)
+            val decision = refuseIfHopeless(entry, now) ?: grantIfPossible(entry, reservations, now)
+            if (decision != null) {
+                decisions += decision
             } else if (selection.hasEligibleServer(entry, reservations, now) && !reserve(entry, reservations, now)) {
                 break
             }
@@ -358,13 +378,20 @@
         return decisions
     }
 
+    private fun grantIfPossible(entry: WaitingRequest, reservations: Reservations, now: Timestamp): DispatchDecision? {
+        val places = place(entry, reservations, now) ?: return null
+        waiting.remove(entry.ticket)
+        return grant(entry, places, now)
+    }
+
     /** Leaves the servers for which [entry] waits to it; returns whether requests behind it may use others. */
     private fun reserve(entry: WaitingRequest, reservations: Reservations, now: Timestamp): Boolean {
         if (entry.version != null) {
             reservations.reserveVersion(entry.version)
             return true
         }
-        return reservations.openOnly(selection.tooSlowServers(entry, now)) && selection.hasRoomForAny(waiting.values, now)
+        val hasOpenServers = reservations.openOnly(selection.tooSlowServers(entry, now))
+        return hasOpenServers && selection.hasRoomForAny(waiting.values, now)
     }
 
     /** Refuses [entry] if no server can take it in time, even if no other request is ahead of it. */
@@ -417,7 +444,11 @@
         val wait = when (reason) {
             DispatchRefusal.SERVERS_PAUSED -> selection.snapshot.optionsOf(this).earliestUnpaused - now
 
-            DispatchRefusal.SERVERS_LIMITED -> limitedWait(selection.snapshot.optionsOf(this).servers, waiting.size, now)
+            DispatchRefusal.SERVERS_LIMITED -> limitedWait(
+                selection.snapshot.optionsOf(this).servers,
+                waiting.size,
+                now,
+            )
 
             // Another instance, to which the caller may turn, reaches the servers.
             DispatchRefusal.SERVERS_UNREACHABLE -> MINIMUM_RETRY_DELAY
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolSnapshot.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolSnapshot.kt
@@ -17,7 +17,10 @@
  * Health, speeds and request limits of the servers do not change during a pass. Places in use and the credit of limits
  * do, and are not part of the snapshot.
  */
-internal class PoolSnapshot(private val trackedServers: Map<BackendServerId, TrackedServer>, private val now: Timestamp) {
+internal class PoolSnapshot(
+    private val trackedServers: Map<BackendServerId, TrackedServer>,
+    private val now: Timestamp,
+) {
     private val stages: Map<ServerStage, List<TrackedServer>> by unsynchronized {
         trackedServers.values.groupBy { it.server.stage }
     }
@@ -52,12 +55,11 @@
     }
 
     /** Returns whether a prefill server accepts [entry]. */
-    fun hasPrefillServer(entry: WaitingRequest): Boolean =
-        if (entry.excluded.isEmpty()) {
-            if (entry.version == null) prefillServers.isNotEmpty() else entry.version in prefillVersions
-        } else {
-            prefillServers.any { entry.accepts(it.server) }
-        }
+    fun hasPrefillServer(entry: WaitingRequest): Boolean = if (entry.excluded.isEmpty()) {
+        if (entry.version == null) prefillServers.isNotEmpty() else entry.version in prefillVersions
+    } else {
+        prefillServers.any { entry.accepts(it.server) }
+    }
 
     /** Returns the median time per unit of work of the servers of [stage]; null when none is known. */
     fun medianTimePerUnit(stage: ServerStage): Duration? = medians.getOrPut(stage) {
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/FairDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/FairDispatchTest.kt
@@ -84,7 +84,11 @@
         listOf(mapOf("w1/r/one" to 3.0, "w2/s/two" to 3.0), mapOf("w/r/one" to 20.0)).forEach { loads ->
             val before = play(DispatchPolicy(sharesFairly = false), loads)
             val after = play(DispatchPolicy(), loads)
-            expectThat(after.map { it.server to it.firstEventAt }).isEqualTo(before.map { it.server to it.firstEventAt })
+            expectThat(
+                after.map {
+                    it.server to it.firstEventAt
+                },
+            ).isEqualTo(before.map { it.server to it.firstEventAt })
         }
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -232,6 +232,7 @@
         metrics.registerGauge("arbutusnotch_dispatch_waiting") { dispatchService.queueLength }
         metrics.registerGauge("arbutusnotch_dispatch_places") { dispatchService.placesInUse }
         metrics.registerGauge("arbutusnotch_dispatch_postponed") { dispatchService.postponedRequests }
+        metrics.registerGauge("arbutusnotch_dispatch_early_refusals") { dispatchService.earlyRefusals }
         metrics.registerGauge("arbutusnotch_dispatch_limited_servers") { dispatchService.limitedServers }
         metrics.registerGauge("arbutusnotch_stream_origins") { streamOrigins.size }
         metrics.registerGauge("arbutusnotch_quarantined") { quarantine.suspiciousDigests(clock.now()).size }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -60,6 +60,10 @@
     val postponedRequests: Int
         get() = dispatchers.values.sumOf { it.postponedRequests }
 
+    /** Number of late requests in all pools that were refused because of the queue ahead of them. */
+    val earlyRefusals: Int
+        get() = dispatchers.values.sumOf { it.earlyRefusals }
+
     /** Number of servers in all pools that limit their requests. */
     val limitedServers: Int
         get() = dispatchers.values.sumOf { it.limitedServers }
@@ -151,6 +155,7 @@
             field("pool", pool)
             field("reason", refusal.reason)
             field("waiting", dispatcher?.queueLength)
+            field("postponed", dispatcher?.postponedRequests)
             field("places_in_use", dispatcher?.placesInUse)
             field("repeats_left", dispatcher?.availableRetries(now))
             field("retry_millis", refusal.retryAfter.inWholeMilliseconds)
