--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -296,6 +296,7 @@
         metrics.registerGauge("arbutusnotch_dispatch_waiting") { dispatchService.queueLength }
         metrics.registerGauge("arbutusnotch_dispatch_places") { dispatchService.placesInUse }
         metrics.registerGauge("arbutusnotch_dispatch_postponed") { dispatchService.postponedRequests }
+        metrics.registerGauge("arbutusnotch_dispatch_early_refusals") { dispatchService.earlyRefusals }
         metrics.registerGauge("arbutusnotch_dispatch_limited_servers") { dispatchService.limitedServers }
         metrics.registerGauge("arbutusnotch_quota_workspaces") { quotaService.workspaceCount }
         metrics.registerGauge("arbutusnotch_quota_tickets") { quotaService.ticketCount }
