Hold more than the burst in the bucket of a workspace

Cause: a quota is stated for whole windows, as rate x window + burst. Change: the bucket also holds half of the overage of a window and a quarter of the slack; a new owner starts with the other half and another quarter, so that a change of owner stays within the bound, which QuotaFleetTest checks with an independent count.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/WatchSpacing.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/WatchSpacing.kt
@@ -27,7 +27,7 @@
         const val ANSWERS_WITHOUT_PAUSE = 3
         val PERIOD = 2.seconds
 
-        /** A change is applied this much later at most, a small part of the time in which a leaving server must be left. */
+        /** Longest delay of a change; a small part of the time after which a leaving server must get no work. */
         val PAUSE = 400.milliseconds
     }
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/LimitShare.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/LimitShare.kt
@@ -50,8 +50,8 @@
     }
 
     /**
-     * Returns the fraction, from 0 to 1, of the places of a pool that this instance may have granted at a time. One that
-     * decides in place of the dispatcher does not know the places of the other holders, which [holders] does not count.
+     * Returns the fraction, from 0 to 1, of the places of a pool that this instance may have granted at a time. One
+     * that decides in place of the dispatcher does not know the places of the holders that [holders] does not count.
      * A dispatcher and its successor learn all places from the reports of the holders.
      */
     public fun ofPlaces(counts: InstanceCounts, role: DispatchRole, holders: () -> Int): Double = when (role) {
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/workspace/QuotaLedger.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/workspace/QuotaLedger.kt
@@ -163,7 +163,7 @@
         /** Returns the bucket after applying [latest]; whoever becomes the owner gets only the initial credit. */
         fun applyShare(latest: QuotaShare, now: Timestamp): QuotaBucket {
             val capacity = if (latest.isOwner) {
-                tolerance.capacity(quota)
+                tolerance.capacity(quota, countsTokens)
             } else {
                 tolerance.partialCapacity(quota, countsTokens, latest.rate)
             }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/workspace/QuotaTolerance.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/workspace/QuotaTolerance.kt
@@ -5,7 +5,6 @@
 
 import org.arbutusnotch.core.membership.InstanceTable
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
@@ -24,17 +23,18 @@
     public val slack: Double = 0.0,
 ) {
     /** Returns the capacity of the bucket of an owner that uses all of [quota]. */
-    public fun capacity(quota: WorkspaceQuota): Double = quota.burst + delayAllowance(quota)
+    public fun capacity(quota: WorkspaceQuota, countsTokens: Boolean): Double =
+        quota.burst + burstAllowance(quota, countsTokens)
 
     /** Returns the credit of a new owner that uses all of [quota] and does not know what an earlier one granted. */
     public fun initialCredit(quota: WorkspaceQuota, countsTokens: Boolean): Double {
-        val credit = excess(quota) - delayAllowance(quota) + reserve(countsTokens)
-        return credit.coerceIn(0.0, capacity(quota))
+        val credit = excess(quota) * (1.0 - BURST_PART) + reserve(countsTokens)
+        return credit.coerceIn(0.0, capacity(quota, countsTokens))
     }
 
     /** Returns the capacity and initial credit of an instance that uses [share] of [quota] beside the owner. */
     public fun partialCapacity(quota: WorkspaceQuota, countsTokens: Boolean, share: Double): Double =
-        minOf(capacity(quota), quota.burst * share + reserve(countsTokens))
+        minOf(capacity(quota, countsTokens), quota.burst * share + reserve(countsTokens))
 
     /**
      * Returns the units per second for [share] of [quota]. While a successor must leave most of the quota to an owner
@@ -53,11 +53,12 @@
     private fun excess(quota: WorkspaceQuota): Double =
         (quota.perSecond * window.toDouble(DurationUnit.SECONDS) + quota.burst) * overage
 
-    /** Requests that were sent at the allowed rate arrive closer to each other when the first ones were delayed. */
-    private fun delayAllowance(quota: WorkspaceQuota): Double = minOf(
-        quota.perSecond * DELAY_DIFFERENCE.toDouble(DurationUnit.SECONDS),
-        excess(quota) * DELAY_PART,
-    )
+    /**
+     * Returns what a bucket holds beyond the burst. The quota is stated for whole windows: a workspace that used little
+     * before may use more than rate and burst for some seconds and stay below it in every window.
+     */
+    private fun burstAllowance(quota: WorkspaceQuota, countsTokens: Boolean): Double =
+        excess(quota) * BURST_PART + reserve(countsTokens)
 
     /** Values for deployments that do not state them. */
     public companion object {
@@ -70,10 +71,7 @@
         /** Part of the slack for one deviation; a change of owner, a large request and a partition may coincide. */
         private const val SLACK_PART = 0.25
 
-        /** Difference in the delay of two requests: a few lost and resent messages. */
-        private val DELAY_DIFFERENCE = 250.milliseconds
-
-        /** Part of the overage that differences in delay may use. */
-        private const val DELAY_PART = 0.125
+        /** Part of the overage for bursts; the rest is for changes of the instance that counts. */
+        private const val BURST_PART = 0.5
     }
 }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/RejectionBackoffTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/RejectionBackoffTest.kt
@@ -1,8 +1,8 @@
 /*
  * Guards against prompts that are processed for an engine that rejects all runs for seconds.
  *
- * A decode server was ordered to change its stage by a dispatcher that then stopped. The next dispatcher did not know of
- * the order and placed 40 runs on the server within six seconds, all of which it rejected.
+ * A decode server was ordered to change its stage by a dispatcher that then stopped. The next dispatcher did not know
+ * of the order and placed 40 runs on the server within six seconds, all of which it rejected.
  */
 package org.arbutusnotch.core.dispatch
 
