Acknowledge ConfigurationConfirmation in the daemon

The message handler of the daemon lists all messages, so it did not compile with the new one, which only forwarding instances exchange. verify -DskipTests passes for the daemon and the modules that it uses.

--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/PeerMessageHandler.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/peer/PeerMessageHandler.kt
@@ -4,6 +4,7 @@
 package org.arbutusnotch.daemon.peer
 
 import org.arbutusnotch.core.message.Acknowledged
+import org.arbutusnotch.core.message.ConfigurationConfirmation
 import org.arbutusnotch.core.message.ConfigurationContent
 import org.arbutusnotch.core.message.ConfigurationFetch
 import org.arbutusnotch.core.message.DispatchMessage
@@ -59,6 +60,7 @@
         is StreamReport -> slotOwner.report(message)
 
         // Forwarding instances alone exchange these.
+        is ConfigurationConfirmation,
         is DispatchMessage,
         is StreamMessage,
         is Acknowledged,
