--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -539,7 +539,13 @@
                 field("reset", isReset)
                 field("checked_millis", (context.now() - run.closedAt).inWholeMilliseconds)
             }
-            onKnown(if (crashed) UnframedEnd.CRASHED else if (isReset) UnframedEnd.RESET else UnframedEnd.INTACT)
+            onKnown(
+                when {
+                    crashed -> UnframedEnd.CRASHED
+                    isReset -> UnframedEnd.RESET
+                    else -> UnframedEnd.INTACT
+                },
+            )
         }
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -686,8 +686,7 @@
             is RunEnd.Broken -> PlaceOutcome.BROKEN
         }
 
-        private fun broken(end: UnframedEnd) =
-            RunEnd.Broken(end.detail, closedByServer = end == UnframedEnd.RESET)
+        private fun broken(end: UnframedEnd) = RunEnd.Broken(end.detail, closedByServer = end == UnframedEnd.RESET)
 
         private fun resultOf(end: CallEnd): RunEnd = when (end) {
             is CallEnd.NotSent -> notRun(PlaceOutcome.UNREACHABLE, end.detail, received = false)
