Explain where an instance on the platform would send a request

Operators could see decisions only in the log, after a request was sent. PoolDispatcher.explain returns the decision that submit would take, and the reason for or against each server, derived from the placement itself; it records nothing. The quota that is used up is not shown yet.

The waiting time of a request moves from Exchange to a function that both use.

--- a/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/InstanceCommands.kt
+++ b/arbutusnotch-cli/src/main/kotlin/org/arbutusnotch/cli/InstanceCommands.kt
@@ -94,6 +94,7 @@
         .restrictTo(0..MAXIMUM_PRIORITY)
     private val service by option("--service", metavar = "SERVICE", help = "Service of a service call")
     private val operation by option("--operation", metavar = "OPERATION", help = "Operation of the service")
+    private val platform by PlatformRequestOptions()
 
     override fun help(context: Context): String =
         "Show where the named instances would send a request now, and why. Nothing is sent to a backend server."
@@ -101,9 +102,11 @@
     override fun helpEpilog(context: Context): String = example(
         "explain --model safety-briefing --prompt-tokens 6000 --priority 9 --instance 127.0.0.1:18082",
         "explain --service booking --operation book --instance 127.0.0.1:18082",
+        "explain --path /v1/chat --host chat.example --prompt-tokens 900 --instance 127.0.0.1:7003",
     )
 
     override suspend fun run() {
+        if (platform.path != null) return explainOnPlatform()
         val path = "/operator/explain?" + query().toQueryString()
         val responses = OperatorClient(options.timeout).use { client ->
             requestEach(options.instances) { address -> client.get(address, path) }
@@ -112,6 +115,21 @@
         printResponses(responses) { response -> response.firstArray().map { candidate -> candidate.asObject() } }
     }
 
+    /** Asks instances on the platform, whose control addresses `--instance` names. */
+    private suspend fun explainOnPlatform() {
+        if (model != null || service != null || operation != null) throw UsageError(PLATFORM_USAGE)
+        val path = "/explain?" + platform.query(promptTokens, priority).toQueryString()
+        val responses = OperatorClient(options.timeout).use { client ->
+            requestEach(options.instances) { address -> client.get(address, path) }
+        }
+        if (options.output == OutputFormat.TABLE) printPlatformSummaries(responses)
+        printResponses(responses) { platformCandidates(it) }
+    }
+
+    private fun printPlatformSummaries(responses: InstanceResponses) = responses.forEach { (address, response) ->
+        response.get()?.let { platformSummary(it) }.orEmpty().forEach { echo("$address: $it") }
+    }
+
     private fun printDecisions(responses: InstanceResponses) = responses.forEach { (address, response) ->
         response.get()?.let { echo("$address: ${cellText(it.asObject()["decision"])}") }
     }
@@ -131,7 +149,8 @@
     private companion object {
         const val MAXIMUM_PRIORITY = 9
         const val EXPLAIN_USAGE =
-            "specify either --model, --prompt-tokens and --priority, or --service and --operation"
+            "specify either --model, --prompt-tokens and --priority, or --service and --operation, or --path"
+        const val PLATFORM_USAGE = "--path cannot be combined with --model, --service or --operation"
     }
 }
 
@@ -241,7 +260,7 @@
 
 private const val QUARANTINE_PATH = "/operator/quarantine"
 
-private fun JsonElement.asObject(): JsonObject = this as? JsonObject ?: buildJsonObject { put("value", this@asObject) }
+internal fun JsonElement.asObject(): JsonObject = this as? JsonObject ?: buildJsonObject { put("value", this@asObject) }
 
 /** Returns the response if it is an array, otherwise the first array among its values. */
 private fun JsonElement.firstArray(): JsonArray = when (this) {
--- a/arbutusnotch-cli/src/test/kotlin/org/arbutusnotch/cli/InstanceCommandsTest.kt
+++ b/arbutusnotch-cli/src/test/kotlin/org/arbutusnotch/cli/InstanceCommandsTest.kt
@@ -56,6 +56,27 @@
         }
     }
 
+    /** Guards against an explanation by an instance on the platform that lacks its decision or a candidate. */
+    @Test
+    fun `explain shows the decision of an instance on the platform`() {
+        FakeInstance(responses = mapOf("GET /explain" to PLATFORM_EXPLANATION)).use { instance ->
+            val request = arrayOf("--path", "/chat", "--host", "h", "--prompt-tokens", "9")
+            val arguments = request + arrayOf("--instance", instance.address)
+            val result = arbutusnotchctl("explain", *arguments)
+            expectThat(result.exitCode).isEqualTo(0)
+            expectThat(instance.requests).containsExactly("GET /explain?host=h&path=%2Fchat&prompt_tokens=9")
+            expectThat(result.standardOutput.lines().take(2)).containsExactly(
+                "${instance.address}: route name=chat,priority=1",
+                "${instance.address}: pool engines weight=1 dispatcher=10.0.0.1:7000 " +
+                    "decision=refuse,reason=overloaded,retry_after_millis=200",
+            )
+            expectThat(result.row("full")).containsExactly(instance.address, "engines", "d1", "full")
+            val json = arbutusnotchctl("explain", *arguments, "--output", "json")
+            expectThat(Json.parseToJsonElement(json.standardOutput).jsonObject[instance.address])
+                .isEqualTo(Json.parseToJsonElement(PLATFORM_EXPLANATION))
+        }
+    }
+
     /** Guards against a refusal that looks like an empty result. */
     @Test
     fun `a refusal exits with 1 and shows the response of the instance`() = withChain(1) { (instance) ->
@@ -140,6 +161,10 @@
             """{"refused_capacity":1234567.0,"answered":2,"denied":0,"first_token_max{priority=9}":0.1149999999}"""
         const val ENTRY_POINTS =
             """{"entry_points":["10.0.0.1:8080","10.0.0.2:8080"],"valid_until_epoch_millis":5,"issuer_prefix":null}"""
+        const val PLATFORM_EXPLANATION =
+            """{"refusal":null,"route":{"name":"chat","priority":1},"workspace":null,"pools":[{"pool":"engines",""" +
+                """"weight":1,"dispatcher":"10.0.0.1:7000","place":{"decision":"refuse","position":null,""" +
+                """"reason":"overloaded","retry_after_millis":200,"candidates":[{"server":"d1","reason":"full"}]}}]}"""
         const val EXPLANATION =
             """{"decision":"10.1.0.1:9000","candidates":[{"server":"10.1.0.1:9000","free_slots":4,"selected":true},
             {"server":"10.1.0.2:9000","free_slots":0,"selected":false}]}"""
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -50,6 +50,10 @@
     fun hasEligibleServer(entry: WaitingRequest, reservedVersions: Set<SoftwareVersion>, now: Timestamp): Boolean =
         eligibleServers(entry, reservedVersions, now).any { it.server.stage != ServerStage.PREFILL }
 
+    /** Returns whether [tracked] may take [entry] once it has capacity. */
+    fun isEligible(tracked: TrackedServer, entry: WaitingRequest, now: Timestamp): Boolean =
+        tracked in eligibleServers(entry, emptySet(), now)
+
     /** Updates the speed estimates with the completed use of [place]. */
     abstract fun observe(tracked: TrackedServer, place: UsedPlace, release: DispatchRelease, now: Timestamp)
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -133,6 +133,37 @@
         return decisions + DispatchDecision.Queued(request.ticket, request.holder)
     }
 
+    /** Returns what [submit] would decide about [request], which repeats no other one; records nothing. */
+    public fun explain(request: DispatchRequest, now: Timestamp): PlaceExplanation {
+        val entry = WaitingRequest.of(request, now)
+        val ahead = waitingAhead(entry)
+        val refusal = noServerReason(entry, ahead, now)
+            ?: DispatchRefusal.OVERLOADED.takeIf { missesDeadline(entry, ahead, now) }
+        val earlier = inDispatchOrder(now, waiting.values + entry).takeWhile { it !== entry }
+        val places = if (refusal == null) placeAfter(earlier, entry, now) else null
+        val decision = when {
+            // Selecting relays would change their order.
+            refusal == DispatchRefusal.SERVERS_UNREACHABLE -> ExplainedDecision.Refuse(refusal, MINIMUM_RETRY_DELAY)
+
+            refusal != null -> ExplainedDecision.Refuse(refusal, entry.refused(refusal, now).retryAfter)
+
+            places != null -> ExplainedDecision.Send
+
+            else -> ExplainedDecision.Wait(earlier.size)
+        }
+        val candidates = CandidateExplainer(trackedServers, selection).explain(entry, places, now)
+        return PlaceExplanation(decision, waiting.size, candidates)
+    }
+
+    /** Returns the places of [entry] unless it must wait behind one of the [earlier] requests. */
+    private fun placeAfter(earlier: List<WaitingRequest>, entry: WaitingRequest, now: Timestamp): PlacedRequest? {
+        if (entry.work is DispatchWork.Generation && arePlacesUnknown(now)) return null
+        val reservedVersions = mutableSetOf<SoftwareVersion>()
+        earlier.filter { selection.hasEligibleServer(it, reservedVersions, now) }
+            .forEach { reservedVersions += it.version ?: return null }
+        return place(entry, reservedVersions, now)
+    }
+
     private fun arePlacesUnknown(now: Timestamp): Boolean =
         waiting.isEmpty() && placesInUse == 0 && now - lastReportAt > REPORT_TIMEOUT
 
@@ -359,7 +390,10 @@
      * each group by priority and objective. A long run is ordered as if its objective were later, because several short
      * runs can be served in its time while places are scarce.
      */
-    private fun inDispatchOrder(now: Timestamp): List<WaitingRequest> = waiting.values.sortedWith(
+    private fun inDispatchOrder(
+        now: Timestamp,
+        requests: Collection<WaitingRequest> = waiting.values,
+    ): List<WaitingRequest> = requests.sortedWith(
         compareBy<WaitingRequest> { !it.begun }
             .thenBy { now + selection.expectedTimeToFirstEvent(it, now) > it.objectiveAt }
             .thenBy { it.priority }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -56,6 +56,7 @@
 import org.arbutusnotch.forwarding.exchange.FrontHandler
 import org.arbutusnotch.forwarding.exchange.RelayedRequests
 import org.arbutusnotch.forwarding.exchange.ShutdownNotice
+import org.arbutusnotch.forwarding.explain.ExplainHandler
 import org.arbutusnotch.forwarding.http.BufferedCall
 import org.arbutusnotch.forwarding.http.CallEnd
 import org.arbutusnotch.forwarding.http.HeaderField
@@ -200,10 +201,18 @@
         relays = RelayedRequests { peer -> membership.serving().find { it.address == peer }?.row?.operatorAddress },
     )
     private val frontHandler = FrontHandler(context, ::routesInUse)
+    private val explainHandler = ExplainHandler(
+        self = self,
+        domain = settings.failureDomain,
+        routes = ::routesInUse,
+        dispatcherOf = { dispatchClient.dispatcherOf(it) },
+        explainPlace = { dispatchService.explain(it, clock.now()) },
+        askDispatcher = { peer, body, onResponse -> askDispatcher(peer, body, onResponse) },
+    )
     private val front = endpoint(settings.frontAddress, frontHandler)
     private val auxiliaryEndpoints = listOf(
         endpoint(settings.readyAddress, ReadinessHandler { membership.state == InstanceState.SERVING }),
-        endpoint(settings.controlAddress, ControlHandler(::snapshot, frontHandler::handleRelayed)),
+        endpoint(settings.controlAddress, ControlHandler(::snapshot, frontHandler::handleRelayed, explainHandler)),
         endpoint(settings.metricsAddress, MetricsHandler(meterRegistry)),
         endpoint(
             settings.directoryAddress,
@@ -474,6 +483,16 @@
         }.start(socketAddress(server.address), group)
     }
 
+    /** Asks the dispatcher in [peer] to explain a decision, and calls [onResponse] with its response or null. */
+    private fun askDispatcher(peer: InstanceAddress, body: ByteArray, onResponse: (ByteArray?) -> Unit) {
+        val address = membership.serving().find { it.address == peer }?.row?.operatorAddress ?: return onResponse(null)
+        val head = RequestHead("POST", ExplainHandler.PLACE_PATH, listOf(HeaderField("Host", address)))
+        val request = HttpRequestMessage(head, body)
+        BufferedCall(request, PEER_FETCH_TIMEOUT, PEER_FETCH_TIMEOUT, answerBufferBudget) { result ->
+            onResponse(result.fold(success = { it.body }, failure = { null }))
+        }.start(socketAddress(address), group)
+    }
+
     private fun snapshot() = StoreSnapshot(
         parts = followers.map { (prefix, follower) ->
             SnapshotPart.of(prefix, follower.position, follower.snapshot())
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -374,7 +374,8 @@
     /** Whether this instance is the dispatcher of [pool] in its own membership view. */
     fun isDispatcher(pool: PoolId): Boolean = candidates().isNotEmpty() && dispatcherOf(pool) == self.address
 
-    private fun dispatcherOf(pool: PoolId): InstanceAddress = dispatcherInstance(pool).address
+    /** Returns the instance to which this one sends its requests for [pool]. */
+    fun dispatcherOf(pool: PoolId): InstanceAddress = dispatcherInstance(pool).address
 
     private fun dispatcherInstance(pool: PoolId): InstanceId =
         preferred(pool, candidates().filter { it.address !in backoffUntil })
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -4,6 +4,7 @@
 package org.arbutusnotch.forwarding.dispatch
 
 import org.arbutusnotch.core.dispatch.DispatchDecision
+import org.arbutusnotch.core.dispatch.PlaceExplanation
 import org.arbutusnotch.core.dispatch.PoolDispatcher
 import org.arbutusnotch.core.dispatch.StageChange
 import org.arbutusnotch.core.forwarding.BackendServer
@@ -69,6 +70,13 @@
         deliver(request.pool, dispatcher.submit(request, now), now)
     }
 
+    /** Returns what would be decided about [request]; a pool without a dispatcher gets none by that. */
+    fun explain(request: DispatchRequest, now: Timestamp): PlaceExplanation {
+        val dispatcher =
+            dispatchers[request.pool] ?: PoolDispatcher(newBudget()).also { configure(request.pool, it, now) }
+        return dispatcher.explain(request, now)
+    }
+
     fun onRelease(release: DispatchRelease, now: Timestamp) {
         val dispatcher = dispatchers[release.pool] ?: return
         deliver(release.pool, dispatcher.release(release, now), now)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/entry/ControlHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/entry/ControlHandler.kt
@@ -5,6 +5,7 @@
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.arbutusnotch.forwarding.exchange.RelayedRequests
+import org.arbutusnotch.forwarding.explain.ExplainHandler
 import org.arbutusnotch.forwarding.http.DisconnectListener
 import org.arbutusnotch.forwarding.http.HeaderField
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
@@ -14,12 +15,13 @@
 import org.arbutusnotch.forwarding.registry.StoreSnapshot
 
 /**
- * Serves the state of the store to instances that cannot reach it or are behind, and requests of callers to those that
- * reach no server.
+ * Serves the state of the store to instances that cannot reach it or are behind, requests of callers to those that
+ * reach no server, and explanations of requests to operators.
  */
 internal class ControlHandler(
     private val snapshot: () -> StoreSnapshot,
     private val handleRelayed: (HttpRequestMessage, Responder) -> DisconnectListener?,
+    private val explain: RequestHandler,
 ) : RequestHandler {
     override fun handle(request: HttpRequestMessage, responder: Responder): DisconnectListener? {
         if (request.head.header(RelayedRequests.HEADER) != null) {
@@ -28,6 +30,7 @@
             )
             return handleRelayed(HttpRequestMessage(head, request.body), responder)
         }
+        if (request.head.path in EXPLAIN_PATHS) return explain.handle(request, responder)
         responder.respond(request, SNAPSHOT_PATH, "application/cbor") { snapshot().encode() }
         return null
     }
@@ -35,6 +38,7 @@
     internal companion object {
         /** Path of the snapshot of the store. */
         const val SNAPSHOT_PATH = "/snapshot"
+        private val EXPLAIN_PATHS = setOf(ExplainHandler.PATH, ExplainHandler.PLACE_PATH)
     }
 }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -74,13 +74,10 @@
     protected val objectiveAt: Timestamp = receivedAt + request.route.objective
 
     /** Time without progress after which the caller disconnects. */
-    protected val callerTimeout: Duration = when (val kind = request.route.kind) {
-        is RouteKind.Generation -> kind.eventTimeout
-        RouteKind.IdempotentCall, RouteKind.NonIdempotentCall -> deadlineAt - receivedAt
-    }
+    protected val callerTimeout: Duration = request.route.callerTimeout(deadlineAt - receivedAt)
 
     /** Time by which a server must start the request. */
-    protected open val startBy: Timestamp = receivedAt + minOf(deadlineAt - receivedAt, callerTimeout) * WAITING_SHARE
+    protected open val startBy: Timestamp = receivedAt + request.route.waitingTime(deadlineAt - receivedAt)
     private var ticket: TicketId? = null
 
     /** Number of the latest request for a place; a reply to an earlier one comes too late. */
@@ -596,12 +593,6 @@
         /** Time that an answer needs to reach its caller in time once its end is known. */
         val CONFIRMATION_MARGIN: Duration = 50.milliseconds
 
-        /**
-         * Share of the caller's timeout for which its request may wait. A later refusal leaves the caller no time to
-         * retry.
-         */
-        const val WAITING_SHARE: Double = 0.7
-
         /** Minimum time after which the caller may retry a refused request. */
         val MINIMUM_RETRY_DELAY: Duration = 300.milliseconds
     }
