--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -68,6 +68,10 @@
      */
     open fun tooSlowServers(entry: WaitingRequest, now: Timestamp): Set<BackendServerId> = emptySet()
 
+    /** Returns whether [tracked] may take [entry] once it has capacity. */
+    fun isEligible(tracked: TrackedServer, entry: WaitingRequest, now: Timestamp): Boolean =
+        tracked in eligibleServers(entry, Reservations(), now)
+
     /** Updates the speed estimates with the completed use of [place]. */
     abstract fun observe(tracked: TrackedServer, place: UsedPlace, release: DispatchRelease, now: Timestamp)
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -173,6 +173,41 @@
         return decisions + DispatchDecision.Queued(request.ticket, request.holder)
     }
 
+    /** Returns what [submit] would decide about [request], which repeats no other one; records nothing. */
+    public fun explain(request: DispatchRequest, now: Timestamp): PlaceExplanation {
+        val entry = WaitingRequest.of(request, now)
+        selection.beginPass(now)
+        val ahead = waitingAhead(entry)
+        val refusal = noServerReason(entry, ahead, now)
+            ?: DispatchRefusal.OVERLOADED.takeIf { missesDeadline(entry, rankedAhead(entry, ahead, now), now) }
+        val earlier = DispatchOrder.rank(waiting.values + entry, selection, now, postponed).sorted()
+            .map { it.entry }
+            .takeWhile { it !== entry }
+        val places = if (refusal == null) placeAfter(earlier, entry, now) else null
+        val decision = when {
+            // Selecting relays would change their order.
+            refusal == DispatchRefusal.SERVERS_UNREACHABLE -> ExplainedDecision.Refuse(refusal, MINIMUM_RETRY_DELAY)
+
+            refusal != null -> ExplainedDecision.Refuse(refusal, entry.refused(refusal, now).retryAfter)
+
+            places != null -> ExplainedDecision.Send
+
+            else -> ExplainedDecision.Wait(earlier.size)
+        }
+        val candidates = CandidateExplainer(trackedServers, selection).explain(entry, places, now)
+        return PlaceExplanation(decision, waiting.size, candidates)
+    }
+
+    /** Returns the places of [entry] unless it must wait behind one of the [earlier] requests. */
+    private fun placeAfter(earlier: List<WaitingRequest>, entry: WaitingRequest, now: Timestamp): PlacedRequest? {
+        if (entry.work is DispatchWork.Generation && arePlacesUnknown(now)) return null
+        val reservations = Reservations()
+        val mustWait = earlier.any {
+            selection.hasEligibleServer(it, reservations, now) && !reserve(it, reservations, now)
+        }
+        return if (mustWait) null else place(entry, reservations, now)
+    }
+
     private fun arePlacesUnknown(now: Timestamp): Boolean =
         waiting.isEmpty() && placesInUse == 0 && now - lastReportAt > REPORT_TIMEOUT
 
