--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/exchange/QuotaAdmissionTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/exchange/QuotaAdmissionTest.kt
@@ -3,10 +3,10 @@
  */
 package org.arbutusnotch.forwarding.exchange
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.netty.buffer.ByteBuf
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import org.arbutusnotch.core.forwarding.AnswerBufferBudget
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.PublishedHistory
@@ -76,8 +76,7 @@
     private val sent = CopyOnWriteArrayList<PeerMessage>()
     private val responses = CopyOnWriteArrayList<ResponseHead>()
 
-    private fun AnswerWriter.rejectAll() =
-        answer(status = "429 Too Many Requests", headers = "not-run: 1\r\n")
+    private fun AnswerWriter.rejectAll() = answer(status = "429 Too Many Requests", headers = "not-run: 1\r\n")
 
     private val dispatch: DispatchClient = DispatchClient(
         self = self,
