--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/quota/QuotaMessageTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/quota/QuotaMessageTest.kt
@@ -46,7 +46,7 @@
         }
     }
 
-    /** Guards against messages that reach no ledger, and against a rejection of a workspace that only a holder knows. */
+    /** Guards against messages that reach no ledger, and a rejection of a workspace that only a holder knows. */
     @Test
     fun `instance counts the requests of others`() {
         InstanceFixture(routesWith(WorkspaceQuota(perSecond = 1.0, burst = 10.0)), emptyList()).use { instance ->
