--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceExplanation.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceExplanation.kt
@@ -106,7 +106,8 @@
         val others = trackedServers.values
             .filter { it !== tracked && (it.server.stage == ServerStage.PREFILL) == isPrefill }
             .map { it.server.id }
-        val placed = selection.place(entry.copy(excluded = entry.excluded + others), Reservations(), now) ?: return false
+        val alone = entry.copy(excluded = entry.excluded + others)
+        val placed = selection.place(alone, Reservations(), now) ?: return false
         return tracked === if (isPrefill) placed.prefill?.tracked else placed.run.tracked
     }
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -240,13 +240,11 @@
         val waitedUntil = begunAt + duration - WATCH_TOLERANCE
         val hasWaited = changes.changes.isEmpty() && clock.now() >= waitedUntil
         onCurrent(begunAt, if (hasWaited) waitedUntil else begunAt)
-        when {
-            !isFruitful && !asksOnce -> resumeLater()
-            pause > Duration.ZERO -> resumeAfter(pause)
-            else -> proceed()
-        }
+        if (isFruitful || asksOnce) proceedAfter(pause) else resumeLater()
     }
 
+    private fun proceedAfter(pause: Duration) = if (pause > Duration.ZERO) resumeAfter(pause) else proceed()
+
     private fun call(
         request: HttpRequestMessage,
         timeout: Duration,
