Keep the counts of instances until the view changes, and follow a raised incarnation

The counts were derived from all rows at each tick of each pool. Views that are kept now also change when the process adopts a higher incarnation; an owner of quotas compared the old one and would have counted as a substitute. Tested by InstanceTableTest and QuotaOwnersTest.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
@@ -338,6 +338,7 @@
     private fun raiseIncarnation(known: Incarnation): MembershipEvent {
         val previous = self
         ownRow = ownRow.copy(instance = InstanceId(previous.address, Incarnation(known.value + 1)))
+        changeCount += 1
         return MembershipEvent.IncarnationRaised(previous, self)
     }
 
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/InstanceTableTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/InstanceTableTest.kt
@@ -91,8 +91,10 @@
         val peer = InstanceTable(rowOf(2))
         peer.merge(listOf(rowOf(1, incarnation = 9)), start)
         val later = listOfNotNull(peer.rowOfLaterIncarnation(reclaiming.self))
+        val changesBefore = reclaiming.changeCount
         expectThat(reclaiming.merge(later, start))
             .containsExactly(MembershipEvent.IncarnationRaised(idOf(1, 5), idOf(1, 10)))
+        expectThat(reclaiming.changeCount).isEqualTo(changesBefore + 1)
         expectThat(reclaiming.successor).isNull()
         peer.merge(listOf(reclaiming.ownRow), start)
         expectThat(peer.find(addressOf(1))?.instance).isEqualTo(idOf(1, 10))
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
@@ -62,6 +62,7 @@
     private val suspectedUntil = LinkedHashMap<InstanceId, Timestamp>()
     private val servingInstances = DerivedView { table.views().filter { it.acceptsNewWork } }
     private val dispatchingInstances = DerivedView { DispatchCandidates.of(serving()).map { it.instance } }
+    private val instanceCounts = DerivedView { countInstances() }
 
     val self: InstanceId
         get() = table.self
@@ -82,7 +83,9 @@
     fun recentlyLost(now: Timestamp): List<InstanceView> = table.recentlyLost(now)
 
     /** Counts the known instances and the reachable ones among them, including this one. */
-    fun counts(): InstanceCounts {
+    fun counts(): InstanceCounts = instanceCounts.get()
+
+    private fun countInstances(): InstanceCounts {
         val views = table.views()
         return InstanceCounts(known = views.size, reachable = views.count { it.reachable })
     }
@@ -237,16 +240,15 @@
     }
 
     /** Keeps what [derive] returns until the view of the instances changes. */
-    private inner class DerivedView<T>(private val derive: () -> List<T>) {
-        private var value = emptyList<T>()
+    private inner class DerivedView<T : Any>(private val derive: () -> T) {
+        private var value: T? = null
         private var changeCount = -1L
 
-        fun get(): List<T> {
-            if (changeCount != table.changeCount) {
-                changeCount = table.changeCount
-                value = derive()
-            }
-            return value
+        fun get(): T {
+            val known = value
+            if (known != null && changeCount == table.changeCount) return known
+            changeCount = table.changeCount
+            return derive().also { value = it }
         }
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/quota/QuotaOwners.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/quota/QuotaOwners.kt
@@ -55,7 +55,8 @@
 
     /** Returns the share that this instance uses of the quota of [workspace] with [holders]. */
     fun shareOf(workspace: WorkspaceId, holders: Int): QuotaShare {
-        val isOwner = self in candidates() && ownerOf(workspace) == self.address
+        val mayOwn = candidates().any { it.address == self.address }
+        val isOwner = mayOwn && ownerOf(workspace) == self.address
         val latest = latestView()
         val role = when {
             !isOwner -> DispatchRole.Substitute
