Share too small a capacity only where the configuration has workspaces

Deployments whose configuration does not ask for something new are served as before. Change: both are on only while the configuration contains workspaces.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -33,7 +33,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Queues, places and refuses the requests of one pool. */
-public class PoolDispatcher(private val budget: RetryBudget, private val policy: DispatchPolicy = DispatchPolicy()) {
+public class PoolDispatcher(private val budget: RetryBudget, private var policy: DispatchPolicy = DispatchPolicy()) {
     private val trackedServers = LinkedHashMap<BackendServerId, TrackedServer>()
     private val pace = if (policy.pacesServers) PoolPace(trackedServers) else null
     private val waiting = LinkedHashMap<TicketId, WaitingRequest>()
@@ -115,6 +115,11 @@
         trackedServers.values.forEach { it.limit.useShare(share, now) }
     }
 
+    /** Selects whether callers share too small a capacity, and whether late requests beyond it are refused early. */
+    public fun shareCapacity(enabled: Boolean) {
+        policy = policy.copy(sharesFairly = enabled, refusesEarly = enabled)
+    }
+
     /**
      * Limits this dispatcher to [share] of the places of the pool. One that decides for a few instances in place of the
      * dispatcher does not know the places that the others use, and servers reject what it grants beyond their capacity.
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -183,6 +183,7 @@
         requestShare = { pool, dispatcher ->
             LimitShare.of(membership.counts(), dispatchClient.roleIn(pool)) { dispatcher.holderCount }
         },
+        sharesCapacity = { publishedState.routes?.workspaces != null },
         placeShare = { pool, dispatcher ->
             LimitShare.ofPlaces(membership.counts(), dispatchClient.roleIn(pool)) { dispatcher.holderCount }
         },
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -34,6 +34,7 @@
  * @param newBudget creates the retry budget of a pool
  * @param retryShare returns the fraction of the retry budget, from 0 to 1, that this instance may grant
  * @param requestShare returns the fraction, from 0 to 1, of the request limits of servers that a dispatcher may grant
+ * @param sharesCapacity returns whether callers share the capacity of a pool that is too small for all of them
  * @param placeShare returns the fraction, from 0 to 1, of the places of a pool that a dispatcher may have granted
  * @param mayOrderStageChange returns whether this instance is the only one that may order stage changes in a pool
  * @param orderStageChange orders a server to change its stage; calls its second argument if the order cannot be sent
@@ -48,6 +49,7 @@
     private val newBudget: () -> RetryBudget,
     private val retryShare: () -> Double,
     private val requestShare: (PoolId, PoolDispatcher) -> Double,
+    private val sharesCapacity: () -> Boolean = { false },
     private val placeShare: (PoolId, PoolDispatcher) -> Double = { _, _ -> 1.0 },
     private val mayOrderStageChange: (PoolId, Timestamp) -> Boolean,
     private val orderStageChange: (StageChange, () -> Unit) -> Unit,
@@ -157,6 +159,7 @@
     private fun limitToShare(pool: PoolId, dispatcher: PoolDispatcher, now: Timestamp) {
         dispatcher.limitRetries(retryShare())
         dispatcher.limitPlaces(placeShare(pool, dispatcher))
+        dispatcher.shareCapacity(sharesCapacity())
         if (dispatcher.limitedServers > 0) dispatcher.limitRequests(requestShare(pool, dispatcher), now)
     }
 
