Track silent instances, missed deadlines and merged rows in one place each

No change of behaviour. DispatchClient and QuotaClient each held the same rules for instances that do not answer; both now use SilentPeers. QueueLimit repeated the check whether a request misses its deadline, which is now a function of PlaceSelection.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -81,6 +81,13 @@
     /** Returns the minimum time until the whole request is complete. */
     abstract fun minimumDuration(entry: WaitingRequest, now: Timestamp): Duration
 
+    /** Returns whether [entry] would not start, or not end, in time after [wait]. */
+    fun missesDeadline(entry: WaitingRequest, wait: Duration, now: Timestamp): Boolean {
+        val start = now + wait
+        return start + minimumTimeToFirstEvent(entry, now) >= entry.startDeadline ||
+            start + minimumDuration(entry, now) >= entry.deadlineAt
+    }
+
     /** Returns the expected time until the answer or, for a stream, its first event. */
     abstract fun expectedTimeToFirstEvent(entry: WaitingRequest, now: Timestamp): Duration
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -419,11 +419,8 @@
         return maxOf(next, ((ahead + 1 - servers.sumOf { it.limit.credit(now) }) / perSecond).seconds)
     }
 
-    private fun missesDeadline(entry: WaitingRequest, ahead: Int, now: Timestamp): Boolean {
-        val wait = selection.timePerRequest(entry) * ahead
-        return now + wait + selection.minimumTimeToFirstEvent(entry, now) >= entry.startDeadline ||
-            now + wait + selection.minimumDuration(entry, now) >= entry.deadlineAt
-    }
+    private fun missesDeadline(entry: WaitingRequest, ahead: Int, now: Timestamp): Boolean =
+        selection.missesDeadline(entry, wait = selection.timePerRequest(entry) * ahead, now)
 
     /**
      * Refuses the waiting requests that have no chance any more if [refusesHopeless], and grants the others in order
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/QueueLimit.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/QueueLimit.kt
@@ -29,7 +29,7 @@
         var wait = Duration.ZERO
         var work = Duration.ZERO
         val excess = ranked.sorted().filter { request ->
-            val isExcess = cannotBeOnTime(request) && missesDeadline(request.entry, wait)
+            val isExcess = cannotBeOnTime(request) && selection.missesDeadline(request.entry, wait, now)
             if (!isExcess) {
                 val time = selection.timePerRequest(request.entry)
                 work += time
@@ -47,13 +47,6 @@
             now + selection.minimumTimeToFirstEvent(entry, now) > entry.objectiveAt
     }
 
-    /** Returns whether [entry] would not start or not end in time after [wait]. */
-    fun missesDeadline(entry: WaitingRequest, wait: Duration): Boolean {
-        val start = now + wait
-        return start + selection.minimumTimeToFirstEvent(entry, now) >= entry.startDeadline ||
-            start + selection.minimumDuration(entry, now) >= entry.deadlineAt
-    }
-
     /** Returns the time until the queue, with [work] left, is so short that a request like [entry] is on time. */
     private fun retryAfter(entry: WaitingRequest, work: Duration): Duration {
         val usableWait = entry.objectiveAt - entry.waitingSince - selection.expectedTimeToFirstEvent(entry, now)
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
@@ -83,6 +83,8 @@
     public var ownRow: InstanceRow = own
         private set
 
+    private val asksQuestions = questionsBeforeSuspicion > 0
+
     /** Number of changes of the view so far, other than risen heartbeats. */
     public var changeCount: Long = 0
         private set
@@ -136,7 +138,7 @@
         }
         if (heartbeat.heartbeat <= known.row.heartbeat) return emptyList()
         known.row = known.row.copy(heartbeat = heartbeat.heartbeat)
-        return recordLife(known, now, isHearsay = questionsBeforeSuspicion > 0)
+        return recordLife(known, now, isHearsay = asksQuestions)
     }
 
     /** Returns those of [heartbeats] whose instances or incarnations are not known, so that their rows are needed. */
@@ -343,29 +345,30 @@
     }
 
     private fun merge(received: InstanceRow, now: Timestamp): List<MembershipEvent> {
-        val known = peers[received.instance.address]
-        if (known != null && !isNewer(received, known.row)) return emptyList()
-        val row = if (known == null) received else combine(received, known)
-        val previous = known?.row?.instance
-        val wasReachable = known?.reachable == true && previous == row.instance
-        val sameIncarnation = known != null && previous == row.instance
-        if (!wasReachable || row.copy(heartbeat = known.row.heartbeat) != known.row) changeCount += 1
-        if (sameIncarnation && questionsBeforeSuspicion > 0) {
-            known.row = row
-            known.statedVersion = maxOf(row.version, known.statedVersion)
-            return recordLife(known, now, isHearsay = true)
-        }
+        val known = peers[received.instance.address] ?: return add(received, previous = null, now)
+        if (!isNewer(received, known.row)) return emptyList()
+        if (received.instance != known.row.instance) return add(received, previous = known, now)
+        val row = combine(received, known)
+        if (row.copy(heartbeat = known.row.heartbeat) != known.row) changeCount += 1
+        known.row = row
+        known.statedVersion = maxOf(row.version, known.statedVersion)
+        return recordLife(known, now, isHearsay = asksQuestions)
+    }
+
+    /** Adds the first row of an incarnation, which replaces the [previous] one at its address. */
+    private fun add(row: InstanceRow, previous: KnownInstance?, now: Timestamp): List<MembershipEvent> {
+        changeCount += 1
         peers[row.instance.address] = KnownInstance(
             row = row,
-            statedVersion = if (sameIncarnation) maxOf(row.version, known.statedVersion) else row.version,
+            statedVersion = row.version,
             suspectAt = suspectAt(now),
             removeAt = now + removal,
-            lastRowRound = known?.lastRowRound ?: 0L,
-            lastHeartbeatRound = known?.lastHeartbeatRound ?: 0L,
+            lastRowRound = previous?.lastRowRound ?: 0L,
+            lastHeartbeatRound = previous?.lastHeartbeatRound ?: 0L,
         )
         return listOfNotNull(
-            previous?.takeIf { it != row.instance }?.let { MembershipEvent.Replaced(it, row.instance) },
-            MembershipEvent.BecameReachable(row.instance).takeUnless { wasReachable },
+            previous?.let { MembershipEvent.Replaced(it.row.instance, row.instance) },
+            MembershipEvent.BecameReachable(row.instance),
         )
     }
 
@@ -397,12 +400,11 @@
     }
 
     /**
-     * Returns [row] if its incarnation differs, otherwise the later version of both with the higher heartbeat. The
-     * state and the active revision of a later version may be known from a heartbeat alone.
+     * Returns the later version of [row] and the row of [known], with the higher heartbeat. The state and the active
+     * revision of a later version may be known from a heartbeat alone.
      */
     private fun combine(row: InstanceRow, known: KnownInstance): InstanceRow {
         val previous = known.row
-        if (row.instance.incarnation != previous.instance.incarnation) return row
         val latest = if (row.version >= previous.version) row else previous
         val heartbeat = maxOf(row.heartbeat, previous.heartbeat)
         if (row.version >= known.statedVersion) return latest.copy(heartbeat = heartbeat)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -34,6 +34,7 @@
 import org.arbutusnotch.core.message.PlacePart
 import org.arbutusnotch.core.message.ServerNotice
 import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.forwarding.membership.SilentPeers
 import org.arbutusnotch.telemetry.EventLog
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -119,16 +120,13 @@
     private val candidates: () -> List<InstanceId>,
     private val recentlyLost: () -> List<InstanceId>,
     private val send: (InstanceAddress, PeerMessage) -> Unit,
-    private val onSilent: (InstanceAddress) -> Unit = {},
+    onSilent: (InstanceAddress) -> Unit = {},
     private val now: () -> Timestamp,
 ) {
     private val log = EventLog("dispatch")
     private val pending = LinkedHashMap<TicketId, PendingRequest>()
     private val held = LinkedHashMap<TicketId, HeldTicket>()
-    private val backoffUntil = HashMap<InstanceAddress, Timestamp>()
-
-    /** Time of the latest reply of each dispatcher. */
-    private val lastReplyAt = HashMap<InstanceAddress, Timestamp>()
+    private val silentPeers = SilentPeers(self.address, onSilent)
     private var ticketCount = 0L
     private var nextReportAt = Timestamp(0)
 
@@ -196,8 +194,7 @@
     private fun sendNotice(notice: ServerNotice) = send(dispatcherOf(notice.pool), notice)
 
     fun onReply(reply: DispatchReply, sender: InstanceAddress) {
-        backoffUntil.remove(sender)
-        lastReplyAt[sender] = now()
+        silentPeers.recordReply(sender, now())
         val submitted = pending[reply.ticket]
         when (reply) {
             is DispatchReply.Queued -> submitted?.onQueued(now())
@@ -288,7 +285,7 @@
 
     /** Resends unanswered place requests and reports the places in use. */
     fun tick(now: Timestamp) {
-        backoffUntil.values.removeIf { it <= now }
+        silentPeers.tick(now)
         pending.entries.toList().forEach { (ticket, submitted) ->
             if (now >= submitted.nextSendAt) resend(ticket, submitted, now)
         }
@@ -321,31 +318,24 @@
     private fun resend(ticket: TicketId, submitted: PendingRequest, now: Timestamp) {
         // An earlier request of the same tick may have been answered synchronously and ended this one.
         if (pending[ticket] !== submitted) return
-        if (submitted.unansweredSends >= MAXIMUM_UNANSWERED_SENDS && isSilent(submitted.dispatcher, now)) {
+        // A second dispatcher beside one that is only busy would grant the same places.
+        if (silentPeers.isSilent(submitted.dispatcher, submitted.unansweredSends, now)) {
             log.info("dispatcher_silent") {
                 field("dispatcher", submitted.dispatcher)
                 field("ticket", ticket)
             }
-            backoffUntil[submitted.dispatcher] = now + DISPATCHER_BACKOFF
-            onSilent(submitted.dispatcher)
+            silentPeers.skip(submitted.dispatcher, now)
             submitted.unansweredSends = 0
         }
         submitted.dispatcher = dispatcherOf(submitted.request.pool)
         send(ticket, submitted)
     }
 
-    /**
-     * Whether the instance at [dispatcher] has answered nothing for a while. One that answers other requests is busy or
-     * lost a message; a second dispatcher beside it would grant the same places.
-     */
-    private fun isSilent(dispatcher: InstanceAddress, now: Timestamp): Boolean =
-        dispatcher != self.address && now >= (lastReplyAt[dispatcher] ?: Timestamp(0)) + DISPATCHER_SILENCE
-
     private fun send(ticket: TicketId, submitted: PendingRequest) {
         val now = now()
         val request = submitted.request
         submitted.unansweredSends += 1
-        submitted.nextSendAt = now + RESEND_INTERVAL
+        submitted.nextSendAt = now + SilentPeers.RESEND_INTERVAL
         send(
             submitted.dispatcher,
             DispatchRequest(
@@ -385,7 +375,7 @@
     fun dispatcherOf(pool: PoolId): InstanceAddress = dispatcherInstance(pool).address
 
     private fun dispatcherInstance(pool: PoolId): InstanceId =
-        preferred(pool, candidates().filter { it.address !in backoffUntil })
+        preferred(pool, candidates().filter { it.address !in silentPeers.skipped })
 
     private fun preferred(pool: PoolId, instances: List<InstanceId>): InstanceId =
         RendezvousHash.select(pool.value, instances) { it.address.value } ?: self
@@ -419,21 +409,9 @@
     }
 
     private companion object {
-        /** Time until an unanswered request is resent: several round trips between failure domains. */
-        val RESEND_INTERVAL = 40.milliseconds
-
         /** Time until a queued request is resent, so that a new dispatcher learns of it. */
         val QUEUED_RESEND_INTERVAL = 250.milliseconds
 
-        /** Consecutive unanswered sends after which a dispatcher is skipped. */
-        const val MAXIMUM_UNANSWERED_SENDS = 3
-
-        /** Time since its latest reply after which a dispatcher that does not answer a request counts as silent. */
-        val DISPATCHER_SILENCE = 300.milliseconds
-
-        /** Time for which an unresponsive dispatcher is skipped; the membership view detects its failure by then. */
-        val DISPATCHER_BACKOFF = 2.seconds
-
         /** Time between two reports of the places in use. */
         val REPORT_INTERVAL = 300.milliseconds
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/quota/QuotaClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/quota/QuotaClient.kt
@@ -17,6 +17,7 @@
 import org.arbutusnotch.core.message.QuotaRequest
 import org.arbutusnotch.core.message.QuotaReturn
 import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.forwarding.membership.SilentPeers
 import org.arbutusnotch.telemetry.EventLog
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -57,16 +58,13 @@
     private val owners: QuotaOwners,
     private val revision: () -> RevisionNumber?,
     private val send: (InstanceAddress, PeerMessage) -> Unit,
-    private val onSilent: (InstanceAddress) -> Unit = {},
+    onSilent: (InstanceAddress) -> Unit = {},
     private val record: (WorkspaceId, String) -> Unit = { _, _ -> },
     private val now: () -> Timestamp,
 ) {
     private val log = EventLog("quota")
     private val pending = LinkedHashMap<TicketId, QuotaTicket>()
-    private val backoffUntil = HashMap<InstanceAddress, Timestamp>()
-
-    /** Time of the latest reply of each owner. */
-    private val lastReplyAt = HashMap<InstanceAddress, Timestamp>()
+    private val silentPeers = SilentPeers(self.address, onSilent)
     private val repeatedReturns = ArrayDeque<RepeatedReturn>()
     private var ticketCount = 0L
 
@@ -91,8 +89,7 @@
     }
 
     fun onReply(reply: QuotaReply, sender: InstanceAddress) {
-        backoffUntil.remove(sender)
-        lastReplyAt[sender] = now()
+        silentPeers.recordReply(sender, now())
         val ticket = pending.remove(reply.ticket) ?: return
         (ticket.asked - sender).forEach { sendReturn(ticket, it) }
         ticket.asked.clear()
@@ -112,7 +109,7 @@
 
     /** Resends unanswered requests, and each return once, since it is not answered. */
     fun tick(now: Timestamp) {
-        backoffUntil.values.removeIf { it <= now }
+        silentPeers.tick(now)
         while (repeatedReturns.isNotEmpty() && now >= repeatedReturns.first().sendAt) {
             val repeated = repeatedReturns.removeFirst()
             send(repeated.target, repeated.message)
@@ -125,23 +122,19 @@
 
     private fun resend(ticket: QuotaTicket, now: Timestamp) {
         val owner = ticket.owner
-        if (owner != null && ticket.unansweredSends >= MAXIMUM_UNANSWERED_SENDS && isSilent(owner, now)) {
+        if (owner != null && silentPeers.isSilent(owner, ticket.unansweredSends, now)) {
             log.info("quota_owner_silent") {
                 field("owner", owner)
                 field("ticket", ticket.id)
                 field("workspace", ticket.workspace)
             }
-            backoffUntil[owner] = now + OWNER_BACKOFF
-            onSilent(owner)
+            silentPeers.skip(owner, now)
         }
         send(ticket)
     }
 
-    private fun isSilent(owner: InstanceAddress, now: Timestamp): Boolean =
-        owner != self.address && now >= (lastReplyAt[owner] ?: Timestamp(0)) + OWNER_SILENCE
-
     private fun send(ticket: QuotaTicket) {
-        val skipped = backoffUntil.keys
+        val skipped = silentPeers.skipped
         val previous = ticket.owner
         val mustDecideHere = previous in skipped && ticket.asked.size >= MAXIMUM_OWNERS
         val owner = if (mustDecideHere) self.address else owners.ownerOf(ticket.workspace, skipped)
@@ -149,7 +142,7 @@
         ticket.owner = owner
         ticket.asked += owner
         ticket.unansweredSends += 1
-        ticket.nextSendAt = now() + RESEND_INTERVAL
+        ticket.nextSendAt = now() + SilentPeers.RESEND_INTERVAL
         val configuration = revision() ?: RevisionNumber(0)
         send(owner, QuotaRequest(ticket.id, self, ticket.workspace, ticket.tokens, configuration))
     }
@@ -157,24 +150,13 @@
     private fun sendReturn(ticket: QuotaTicket, target: InstanceAddress) {
         val message = QuotaReturn(ticket.id, ticket.workspace, ticket.tokens)
         send(target, message)
-        if (target != self.address) repeatedReturns += RepeatedReturn(now() + RESEND_INTERVAL, target, message)
+        if (target == self.address) return
+        repeatedReturns += RepeatedReturn(now() + SilentPeers.RESEND_INTERVAL, target, message)
     }
 
     private class RepeatedReturn(val sendAt: Timestamp, val target: InstanceAddress, val message: QuotaReturn)
 
     private companion object {
-        /** Time until an unanswered request is resent: several round trips between failure domains. */
-        val RESEND_INTERVAL = 40.milliseconds
-
-        /** Consecutive unanswered sends after which an owner is skipped. */
-        const val MAXIMUM_UNANSWERED_SENDS = 3
-
-        /** Time since its latest reply after which an owner that does not answer a request counts as silent. */
-        val OWNER_SILENCE = 300.milliseconds
-
-        /** Time for which a silent owner is skipped; the membership view detects its failure by then. */
-        val OWNER_BACKOFF = 2.seconds
-
         /** Silent owners for one request after which this instance decides itself, since its caller waits. */
         const val MAXIMUM_OWNERS = 2
     }
