Limit the time for which received bytes are decoded

Callers at an instance at which a crowd of clients sends one-byte chunks or heads of thousands of short lines waited until the bytes of the whole crowd were decoded, and so did heartbeats, the watch of the store, deadlines and the answers of servers. Clients have a memory budget, but the work that their bytes cause had none: one read of 16 KB is up to 2,700 chunks or 3,900 fields, and one pass of the event loop read from every connection.

Received bytes are now decoded for 5 ms in each pass. The rest is held and counted, and its connection is not read from meanwhile. Connections that have caused little work go first, the others in the order of what they have caused.

Ruled out: decoding in round-robin pieces.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -314,6 +314,7 @@
         metrics.registerGauge("arbutusnotch_dispatch_paced_servers") { dispatchService.pacedServers }
         metrics.registerGauge("arbutusnotch_stream_origins") { streamOrigins.size }
         metrics.registerGauge("arbutusnotch_request_memory_bytes") { intake.budget.usedBytes }
+        metrics.registerGauge("arbutusnotch_clients_waiting") { intake.turns.waitingConnections }
         metrics.registerGauge("arbutusnotch_client_connections") {
             front.openConnections + auxiliaryEndpoints.sumOf { it.openConnections }
         }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
@@ -83,6 +83,9 @@
     private var rejected = false
     private var idleSince: Timestamp = clock.now()
 
+    /** Handler that passes received bytes on to the decoder. */
+    val gate = ReadGate(this, intake.turns)
+
     /** Time until which a new connection counts as busy, since a request may lie unread; null once one was read. */
     private var firstReadBy: Timestamp? = clock.now() + FIRST_READ_TIME
 
@@ -97,7 +100,7 @@
 
     /** Whether a request is received, processed or not yet read, or its caller has not yet taken the whole response. */
     val isBusy: Boolean
-        get() = current != null || receiving != null || hasUnwrittenAnswer || isUnread
+        get() = current != null || receiving != null || hasUnwrittenAnswer || isUnread || gate.isHolding
 
     private val isUnread: Boolean
         get() = firstReadBy.let { it != null && clock.now() < it }
@@ -138,6 +141,7 @@
 
     /** Reserves the memory of the bytes that were read. */
     fun onBytesDecoded() {
+        account.progressAt = clock.now()
         reserve()
     }
 
@@ -146,8 +150,9 @@
         if (rejected || closed) return false
         account.mayYield = current == null && !hasUnwrittenAnswer
         val decoderBytes = decoder?.heldBytes ?: 0
-        val bytes = CONNECTION_BYTES + decoderBytes + (receiving?.heldBytes ?: 0) + requestBytes + answerBytes
-        if (intake.budget.resize(account, bytes + deferredBytes, clock.now())) return true
+        val unreadBytes = gate.memoryBytes + decoderBytes + deferredBytes
+        val bytes = CONNECTION_BYTES + unreadBytes + (receiving?.heldBytes ?: 0) + requestBytes + answerBytes
+        if (intake.budget.resize(account, bytes, clock.now())) return true
         giveUpMemory()
         return false
     }
@@ -179,7 +184,7 @@
         val kept = if (message is HttpContent && message.content().isReadable) copyOf(message) else message
         deferred.addLast(kept)
         deferredBytes += memoryOf(kept)
-        setReading(false)
+        updateReading()
         if (deferredBytes <= limits.bodyBytes + limits.headBytes * HEAP_PER_HEAD_BYTE) return
         log.warn("caller_pipelines_too_much") { field("bytes", deferredBytes) }
         close()
@@ -204,8 +209,9 @@
         deferredBytes = 0
     }
 
-    private fun setReading(reading: Boolean) {
-        context?.channel()?.config()?.isAutoRead = reading
+    /** Reads while nothing received before waits; a rejected client may send on until it has taken its response. */
+    fun updateReading() {
+        context?.channel()?.config()?.isAutoRead = rejected || (deferred.isEmpty() && !gate.isHolding)
     }
 
     private fun resumeDeferred() {
@@ -223,7 +229,7 @@
         }
         if (closed || rejected) return
         reserve()
-        if (deferred.isEmpty()) setReading(true)
+        updateReading()
     }
 
     private fun receive(message: HttpObject) {
@@ -282,7 +288,8 @@
         )
         intake.budget.release(account)
         releaseDeferred()
-        setReading(true)
+        gate.discard()
+        updateReading()
         val channel = context ?: return
         val written = channel.writeAndFlush(HeadWriter.response(head, channel.alloc()))
         dropDecoder(channel)
@@ -352,18 +359,24 @@
      */
     fun closeIfTimedOut(currentLimits: CallerLimits) {
         val now = clock.now()
-        val receiveDeadline = receiving?.let { minOf(it.bodyDeadline, account.progressAt + BODY_STALL_TIMEOUT) }
-            ?: headDeadline
         val rejectedSince = rejectedAt
         when {
             rejectedSince != null -> if (now >= rejectedSince + REJECTION_TIME) close()
             isReadTooSlowly(currentLimits) -> closeStalled()
             current != null || rejected -> Unit
-            receiveDeadline != null -> if (now >= receiveDeadline) rejectStalled()
+            isReceivedTooSlowly(now) -> rejectStalled()
+            receiving != null || headDeadline != null || gate.isHolding -> Unit
             now >= idleSince + currentLimits.idleTimeout && !hasUnwrittenAnswer -> close()
         }
     }
 
+    /** A client is not late while the instance holds what it has sent, except that each body has a last deadline. */
+    private fun isReceivedTooSlowly(now: Timestamp): Boolean {
+        val bodyDeadline = receiving?.bodyDeadline
+        val stallDeadline = if (bodyDeadline == null) headDeadline else account.progressAt + BODY_STALL_TIMEOUT
+        return listOfNotNull(bodyDeadline, stallDeadline.takeUnless { gate.isHolding }).any { now >= it }
+    }
+
     private fun isReadTooSlowly(currentLimits: CallerLimits): Boolean {
         val channel = context?.channel() ?: return false
         return writeProgress.stalledFor(channel) >= currentLimits.idleTimeout
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ClientIntake.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ClientIntake.kt
@@ -25,7 +25,7 @@
 }
 
 /**
- * Holds the budget for the memory of requests and reports the rejections.
+ * Holds the budget for the memory of requests and the turns in which they are decoded, and reports the rejections.
  *
  * @param count is called for each rejection
  */
@@ -34,6 +34,8 @@
     private val clock: Clock,
     private val count: (ClientRejection) -> Unit,
 ) {
+    /** Decides when the instance decodes what clients have sent. */
+    val turns = ReadTurns()
     private val log = EventLog("intake")
     private val unreported = LinkedHashMap<ClientRejection, Int>()
     private var nextReportAt = Timestamp(0)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
@@ -6,8 +6,6 @@
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
-import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -15,7 +13,6 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.util.ReferenceCountUtil
 import org.arbutusnotch.core.forwarding.CallerLimits
 import org.arbutusnotch.telemetry.Clock
 import java.net.InetSocketAddress
@@ -106,7 +103,7 @@
         }
         connection.closesAfterResponse = draining
         connections += connection
-        accepted.pipeline().addLast(ReceiveNotifier(connection), decoder, connection)
+        accepted.pipeline().addLast(connection.gate, decoder, connection)
     }
 
     /** Closes the connection that has sent nothing for longest at the bound, and returns whether there is room. */
@@ -140,19 +137,6 @@
         connections.toList().filter { !it.isBusy }.forEach { it.close() }
     }
 
-    /** Notifies [connection] of received bytes before they are decoded. */
-    private class ReceiveNotifier(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
-        override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (connection.isRejected) {
-                ReferenceCountUtil.release(message)
-                return
-            }
-            connection.onBytesReceived()
-            context.fireChannelRead(message)
-            connection.onBytesDecoded()
-        }
-    }
-
     private companion object {
         /** Connections in the accept queue; a full queue delays a caller by a second. */
         const val ACCEPT_QUEUE_CONNECTIONS = 1_024
