Leave memory for requests to other services while one hangs

While the servers of one service did not answer, uploads to every other service were refused with 503: requests that are served never yield their memory, so that clients which kept sending to the service held the whole budget.

The requests for one service that are served now hold at most three times what then remains free. The share is checked when a head declares its length, so that a body which cannot be served is refused before it is read, and again when the request is complete. Rejections count as service_memory.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/RequestMemoryBudget.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/RequestMemoryBudget.kt
@@ -3,9 +3,11 @@
  *
  * Each connection has an account of the memory that it holds. When the budget is spent, the connection that holds most
  * and has made no progress for longest yields first. A connection yields only while no request of it is being served.
+ * Since requests that are served keep their memory for as long as their servers take, each service has a share of it.
  */
 package org.arbutusnotch.core.forwarding
 
+import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.time.Timestamp
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -26,9 +28,15 @@
     /** Time at which the client last sent something. */
     public var progressAt: Timestamp = Timestamp(0)
 
+    /** Request of the connection that is being served; null if there is none. */
+    internal var served: ServedRequest? = null
+
     internal fun evict(): Unit = yieldMemory()
 }
 
+/** Memory in bytes that a request for [service] holds while it is served. */
+internal class ServedRequest(val service: PoolId, val bytes: Int)
+
 /** Shares [maximumBytes] between all connections of clients. */
 public class RequestMemoryBudget(maximumBytes: Int) {
     private val accounts = LinkedHashSet<MemoryAccount>()
@@ -62,8 +70,34 @@
         return true
     }
 
+    /**
+     * Returns whether a request for [service] that holds [bytes] may be served beside the others. The requests of one
+     * service hold at most a multiple of what then remains free, so that some memory remains while its servers hang.
+     */
+    public fun mayServe(service: PoolId, bytes: Int): Boolean = tiers.all { it.hasShare(service, bytes) }
+
+    /** Records that the request of [account] is served, and returns true, unless the share of [service] is spent. */
+    public fun startServing(account: MemoryAccount, service: PoolId, bytes: Int): Boolean {
+        if (!mayServe(service, bytes)) return false
+        endServing(account)
+        val request = ServedRequest(service, bytes)
+        account.served = request
+        tiers.forEach { it.addServed(request, sign = 1) }
+        return true
+    }
+
+    /** Records that the request of [account] is no longer served; has no effect if there is none. */
+    public fun endServing(account: MemoryAccount) {
+        val request = account.served ?: return
+        account.served = null
+        tiers.forEach { it.addServed(request, sign = -1) }
+    }
+
     /** Returns all memory of [account]. */
-    public fun release(account: MemoryAccount): Unit = record(account, 0)
+    public fun release(account: MemoryAccount) {
+        endServing(account)
+        record(account, 0)
+    }
 
     private fun record(account: MemoryAccount, bytes: Int) {
         tiers.forEach { it.usedBytes += it.partOf(bytes) - it.partOf(account.heldBytes) }
@@ -92,8 +126,22 @@
     /** Bounds the memory of all accounts that hold more than [minimumBytes]. */
     private class Tier(private val minimumBytes: Int, val maximumBytes: Int) {
         var usedBytes = 0
+        private val servedBytes = HashMap<PoolId, Int>()
 
         fun partOf(bytes: Int): Int = if (bytes > minimumBytes) bytes else 0
+
+        /** Returns whether [service] may hold [bytes] more; a service that holds nothing here always may. */
+        fun hasShare(service: PoolId, bytes: Int): Boolean {
+            val part = partOf(bytes)
+            val own = servedBytes[service] ?: 0
+            val remaining = maximumBytes - servedBytes.values.sum() - part
+            return part == 0 || own == 0 || own + part <= remaining.toLong() * SERVICE_BYTES_PER_FREE_BYTE
+        }
+
+        fun addServed(request: ServedRequest, sign: Int) {
+            val bytes = (servedBytes[request.service] ?: 0) + sign * partOf(request.bytes)
+            if (bytes == 0) servedBytes.remove(request.service) else servedBytes[request.service] = bytes
+        }
     }
 
     private companion object {
@@ -105,6 +153,9 @@
         const val MEDIUM_SHARE = 0.875
         const val LARGE_SHARE = 0.75
 
+        /** Memory that one service may hold for each byte that remains free: three quarters if it is the only one. */
+        const val SERVICE_BYTES_PER_FREE_BYTE = 3
+
         /** Shortest time that counts as a stall: a client that sends all the time does so at these intervals. */
         val MINIMUM_STALL: Duration = 100.milliseconds
     }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/RequestMemoryBudgetTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/RequestMemoryBudgetTest.kt
@@ -1,5 +1,6 @@
 package org.arbutusnotch.core.forwarding
 
+import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.time.Timestamp
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -57,6 +58,30 @@
         expectThat(reserve(account("next"), 700_000)).isTrue()
     }
 
+    private fun serve(service: String, bytes: Int, account: MemoryAccount = account(service)) =
+        budget.startServing(account, PoolId(service), bytes)
+
+    /** Guards against services whose servers hang and whose requests take the memory of all others. */
+    @Test
+    fun `served requests of each service leave memory for others`() {
+        expectThat(List(100) { serve("first", 10_000) }.count { it }).isEqualTo(75)
+        expectThat(List(100) { serve("second", 10_000) }.count { it }).isEqualTo(18)
+        expectThat(serve("third", 10_000)).isTrue()
+        expectThat(List(2) { serve("uploads", 100_000) }).containsExactly(true, false)
+    }
+
+    /** Guards against a share that remains spent after the requests of its service have ended. */
+    @Test
+    fun `ended requests return the share of their service`() {
+        val accounts = List(75) { account("first") }
+        repeat(2) {
+            expectThat(accounts.count { serve("first", 10_000, it) }).isEqualTo(75)
+            expectThat(budget.mayServe(PoolId("first"), 10_000)).isFalse()
+            accounts.take(40).forEach { budget.endServing(it) }
+            accounts.forEach { budget.release(it) }
+        }
+    }
+
     /** Guards against memory that is counted twice or never returned. */
     @Test
     fun `released and shrunk accounts free their memory`() {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -277,7 +277,10 @@
         endpoint(settings.frontAddress, frontHandler, connectionBounds.front, countsAnswers = false)
     private val auxiliaryEndpoints = listOf(
         endpoint(settings.readyAddress, ReadinessHandler { membership.state == InstanceState.SERVING }),
-        endpoint(settings.controlAddress, ControlHandler(::snapshot, frontHandler::handleRelayed, explainHandler)),
+        endpoint(
+            settings.controlAddress,
+            ControlHandler(::snapshot, frontHandler::handleRelayed, frontHandler::serviceOf, explainHandler),
+        ),
         endpoint(settings.metricsAddress, MetricsHandler(meterRegistry)),
         endpoint(
             settings.directoryAddress,
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/entry/ControlHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/entry/ControlHandler.kt
@@ -4,12 +4,14 @@
 package org.arbutusnotch.forwarding.entry
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.forwarding.exchange.RelayedRequests
 import org.arbutusnotch.forwarding.explain.ExplainHandler
 import org.arbutusnotch.forwarding.http.DisconnectListener
 import org.arbutusnotch.forwarding.http.HeaderField
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
 import org.arbutusnotch.forwarding.http.RequestHandler
+import org.arbutusnotch.forwarding.http.RequestHead
 import org.arbutusnotch.forwarding.http.Responder
 import org.arbutusnotch.forwarding.http.ResponseHead
 import org.arbutusnotch.forwarding.registry.StoreSnapshot
@@ -21,6 +23,7 @@
 internal class ControlHandler(
     private val snapshot: () -> StoreSnapshot,
     private val handleRelayed: (HttpRequestMessage, Responder) -> DisconnectListener?,
+    private val relayedService: (RequestHead) -> PoolId?,
     private val explain: RequestHandler,
 ) : RequestHandler {
     override fun handle(request: HttpRequestMessage, responder: Responder): DisconnectListener? {
@@ -35,6 +38,9 @@
         return null
     }
 
+    override fun serviceOf(head: RequestHead): PoolId? =
+        if (head.header(RelayedRequests.HEADER) == null) null else relayedService(head)
+
     internal companion object {
         /** Path of the snapshot of the store. */
         const val SNAPSHOT_PATH = "/snapshot"
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
@@ -7,6 +7,7 @@
 import org.arbutusnotch.core.forwarding.RouteKind
 import org.arbutusnotch.core.forwarding.RouteTable
 import org.arbutusnotch.core.id.ContentDigest
+import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.message.DispatchWork
 import org.arbutusnotch.core.quarantine.Suspects
 import org.arbutusnotch.core.workspace.AccessDecision
@@ -16,6 +17,7 @@
 import org.arbutusnotch.forwarding.http.DisconnectListener
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
 import org.arbutusnotch.forwarding.http.RequestHandler
+import org.arbutusnotch.forwarding.http.RequestHead
 import org.arbutusnotch.forwarding.http.Responder
 import org.arbutusnotch.forwarding.http.ResponseHead
 import org.arbutusnotch.telemetry.EventLog
@@ -38,6 +40,10 @@
     override fun handle(request: HttpRequestMessage, responder: Responder): DisconnectListener? =
         handle(request, responder, relayed = false)
 
+    /** Of several services that share a route, the first one stands for all. */
+    override fun serviceOf(head: RequestHead): PoolId? =
+        routes()?.find(head.header("host").orEmpty(), head.path)?.targets?.firstOrNull()?.pool
+
     /** Handles [request] for another instance, which reaches no server. */
     fun handleRelayed(request: HttpRequestMessage, responder: Responder): DisconnectListener? {
         if (!context.relays.hasRoom) {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
@@ -20,6 +20,7 @@
 import io.netty.util.ReferenceCountUtil
 import org.arbutusnotch.core.forwarding.CallerLimits
 import org.arbutusnotch.core.forwarding.MemoryAccount
+import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.telemetry.Clock
 import org.arbutusnotch.telemetry.EventLog
@@ -250,12 +251,15 @@
         )
         val error = RequestValidator.findError(head, request.protocolVersion().text())
         if (error != null) return reject(error)
-        val expected = head.header("expect")
-        if (expected != null && expected.equals("100-continue", ignoreCase = true)) {
+        val expectsContinue = head.header("expect").equals("100-continue", ignoreCase = true)
+        headDeadline = null
+        val service = handler.serviceOf(head)
+        val received = ReceivingRequest(head, service, bodyDeadline = clock.now() + BODY_TIMEOUT)
+        receiving = received
+        if (service != null && !intake.budget.mayServe(service, received.declaredBytes)) return rejectForService()
+        if (expectsContinue) {
             context?.writeAndFlush(Unpooled.copiedBuffer(CONTINUE_RESPONSE, StandardCharsets.ISO_8859_1))
         }
-        headDeadline = null
-        receiving = ReceivingRequest(head, bodyDeadline = clock.now() + BODY_TIMEOUT)
         reserve()
     }
 
@@ -265,6 +269,10 @@
         if (request.body.size + bytes.readableBytes() > limits.bodyBytes) return reject(RequestError.BODY_TOO_LARGE)
         request.body.add(bytes)
         if (content !is LastHttpContent || !reserve()) return
+        val service = request.service
+        if (service != null && !intake.budget.startServing(account, service, request.servedBytes)) {
+            return rejectForService()
+        }
         receiving = null
         requestBytes = request.heldBytes + ACTIVE_REQUEST_BYTES
         val closeRequested = request.head.header("connection").equals("close", ignoreCase = true)
@@ -274,6 +282,11 @@
         if (current === response) response.disconnectListener = listener
     }
 
+    private fun rejectForService() {
+        intake.recordRejection(ClientRejection.SERVICE_MEMORY)
+        reject(RequestError.OVERLOADED)
+    }
+
     private fun reject(error: RequestError) {
         rejected = true
         rejectedAt = clock.now()
@@ -320,6 +333,7 @@
         if (current !== response) return
         current = null
         requestBytes = 0
+        intake.budget.endServing(account)
         idleSince = clock.now()
         if (close) {
             context?.writeAndFlush(Unpooled.EMPTY_BUFFER)?.addListener(ChannelFutureListener.CLOSE)
@@ -392,7 +406,7 @@
         close()
     }
 
-    private class ReceivingRequest(val head: RequestHead, val bodyDeadline: Timestamp) {
+    private class ReceivingRequest(val head: RequestHead, val service: PoolId?, val bodyDeadline: Timestamp) {
         val body = RequestBodyCollector()
         private val headBytes =
             head.target.length + head.headers.sumOf { it.name.length + it.value.length + HEAP_BYTES_PER_FIELD }
@@ -400,6 +414,14 @@
         /** Memory of head and body. */
         val heldBytes: Int
             get() = headBytes + body.capacity
+
+        /** Memory that the request will hold while it is served, as far as its head tells. */
+        val declaredBytes: Int
+            get() = servedBytes + (head.header("content-length")?.toIntOrNull() ?: 0)
+
+        /** Memory that the request holds while it is served. */
+        val servedBytes: Int
+            get() = CONNECTION_BYTES + ACTIVE_REQUEST_BYTES + heldBytes
     }
 
     /** Continues with deferred requests, if there are any, once the current event is handled. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ClientIntake.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ClientIntake.kt
@@ -14,6 +14,9 @@
     /** The memory for requests is spent. */
     MEMORY,
 
+    /** The requests for one service hold their share of the memory. */
+    SERVICE_MEMORY,
+
     /** The number of open connections is at its bound. */
     CONNECTIONS,
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import org.arbutusnotch.core.forwarding.CallerLimits
+import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.telemetry.Clock
 import java.net.InetSocketAddress
 
@@ -25,6 +26,9 @@
      * @return listener for the caller disconnecting before its response is complete; null when there is no work to stop
      */
     public fun handle(request: HttpRequestMessage, responder: Responder): DisconnectListener?
+
+    /** Returns the service that is to serve a request with [head]; null if the instance answers it itself. */
+    public fun serviceOf(head: RequestHead): PoolId? = null
 }
 
 /** Observes that a caller disconnected. */
