Leave connections for callers of other services while one hangs

While the servers of one service did not answer, callers of other services were disconnected without an answer: requests that wait for a server occupy their connections, and at the bound of open connections only idle ones are closed. Small requests reach this bound before that of memory. Clients that had been rejected occupied a connection for another second.

The requests for one service that are served now hold at most three times the connections that then remain free, as with memory; ServiceShares decides both. At the bound, rejected connections are closed first. Rejections count as service_connections.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/RequestMemoryBudget.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/RequestMemoryBudget.kt
@@ -70,27 +70,23 @@
         return true
     }
 
-    /**
-     * Returns whether a request for [service] that holds [bytes] may be served beside the others. The requests of one
-     * service hold at most a multiple of what then remains free, so that some memory remains while its servers hang.
-     */
-    public fun mayServe(service: PoolId, bytes: Int): Boolean = tiers.all { it.hasShare(service, bytes) }
+    /** Returns whether a request for [service] that holds [bytes] may be served beside the others. */
+    public fun mayServe(service: PoolId, bytes: Int): Boolean = tiers.all {
+        it.partOf(bytes) == 0 || it.services.hasRoom(service, it.partOf(bytes))
+    }
 
-    /** Records that the request of [account] is served, and returns true, unless the share of [service] is spent. */
-    public fun startServing(account: MemoryAccount, service: PoolId, bytes: Int): Boolean {
-        if (!mayServe(service, bytes)) return false
+    /** Records that the request of [account] is served and holds [bytes] of [service]. */
+    public fun startServing(account: MemoryAccount, service: PoolId, bytes: Int) {
         endServing(account)
-        val request = ServedRequest(service, bytes)
-        account.served = request
-        tiers.forEach { it.addServed(request, sign = 1) }
-        return true
+        account.served = ServedRequest(service, bytes)
+        tiers.forEach { it.services.add(service, it.partOf(bytes)) }
     }
 
     /** Records that the request of [account] is no longer served; has no effect if there is none. */
     public fun endServing(account: MemoryAccount) {
         val request = account.served ?: return
         account.served = null
-        tiers.forEach { it.addServed(request, sign = -1) }
+        tiers.forEach { it.services.remove(request.service, it.partOf(request.bytes)) }
     }
 
     /** Returns all memory of [account]. */
@@ -126,22 +122,9 @@
     /** Bounds the memory of all accounts that hold more than [minimumBytes]. */
     private class Tier(private val minimumBytes: Int, val maximumBytes: Int) {
         var usedBytes = 0
-        private val servedBytes = HashMap<PoolId, Int>()
+        val services = ServiceShares(maximumBytes)
 
         fun partOf(bytes: Int): Int = if (bytes > minimumBytes) bytes else 0
-
-        /** Returns whether [service] may hold [bytes] more; a service that holds nothing here always may. */
-        fun hasShare(service: PoolId, bytes: Int): Boolean {
-            val part = partOf(bytes)
-            val own = servedBytes[service] ?: 0
-            val remaining = maximumBytes - servedBytes.values.sum() - part
-            return part == 0 || own == 0 || own + part <= remaining.toLong() * SERVICE_BYTES_PER_FREE_BYTE
-        }
-
-        fun addServed(request: ServedRequest, sign: Int) {
-            val bytes = (servedBytes[request.service] ?: 0) + sign * partOf(request.bytes)
-            if (bytes == 0) servedBytes.remove(request.service) else servedBytes[request.service] = bytes
-        }
     }
 
     private companion object {
@@ -153,9 +136,6 @@
         const val MEDIUM_SHARE = 0.875
         const val LARGE_SHARE = 0.75
 
-        /** Memory that one service may hold for each byte that remains free: three quarters if it is the only one. */
-        const val SERVICE_BYTES_PER_FREE_BYTE = 3
-
         /** Shortest time that counts as a stall: a client that sends all the time does so at these intervals. */
         val MINIMUM_STALL: Duration = 100.milliseconds
     }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/RequestMemoryBudgetTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/RequestMemoryBudgetTest.kt
@@ -58,8 +58,11 @@
         expectThat(reserve(account("next"), 700_000)).isTrue()
     }
 
-    private fun serve(service: String, bytes: Int, account: MemoryAccount = account(service)) =
+    private fun serve(service: String, bytes: Int, account: MemoryAccount = account(service)): Boolean {
+        if (!budget.mayServe(PoolId(service), bytes)) return false
         budget.startServing(account, PoolId(service), bytes)
+        return true
+    }
 
     /** Guards against services whose servers hang and whose requests take the memory of all others. */
     @Test
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
@@ -20,6 +20,7 @@
 import io.netty.util.ReferenceCountUtil
 import org.arbutusnotch.core.forwarding.CallerLimits
 import org.arbutusnotch.core.forwarding.MemoryAccount
+import org.arbutusnotch.core.forwarding.ServiceShares
 import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.telemetry.Clock
@@ -62,6 +63,7 @@
     private val handler: RequestHandler,
     private var decoder: RequestDecoder?,
     private val intake: ClientIntake,
+    private val connectionShares: ServiceShares,
     private val countsAnswers: Boolean,
     private val onClosed: (CallerConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
@@ -81,6 +83,9 @@
     private var rejectedAt: Timestamp? = null
     private var receiving: ReceivingRequest? = null
     private var current: ActiveResponse? = null
+
+    /** Service of the request in progress; null if there is none or the instance answers it itself. */
+    private var served: PoolId? = null
     private var rejected = false
     private var idleSince: Timestamp = clock.now()
 
@@ -256,7 +261,8 @@
         val service = handler.serviceOf(head)
         val received = ReceivingRequest(head, service, bodyDeadline = clock.now() + BODY_TIMEOUT)
         receiving = received
-        if (service != null && !intake.budget.mayServe(service, received.declaredBytes)) return rejectForService()
+        val rejection = service?.let { findSpentShare(it, received.declaredBytes) }
+        if (rejection != null) return rejectForService(rejection)
         if (expectsContinue) {
             context?.writeAndFlush(Unpooled.copiedBuffer(CONTINUE_RESPONSE, StandardCharsets.ISO_8859_1))
         }
@@ -269,10 +275,9 @@
         if (request.body.size + bytes.readableBytes() > limits.bodyBytes) return reject(RequestError.BODY_TOO_LARGE)
         request.body.add(bytes)
         if (content !is LastHttpContent || !reserve()) return
-        val service = request.service
-        if (service != null && !intake.budget.startServing(account, service, request.servedBytes)) {
-            return rejectForService()
-        }
+        val rejection = request.service?.let { findSpentShare(it, request.servedBytes) }
+        if (rejection != null) return rejectForService(rejection)
+        request.service?.let { startServing(it, request.servedBytes) }
         receiving = null
         requestBytes = request.heldBytes + ACTIVE_REQUEST_BYTES
         val closeRequested = request.head.header("connection").equals("close", ignoreCase = true)
@@ -282,8 +287,27 @@
         if (current === response) response.disconnectListener = listener
     }
 
-    private fun rejectForService() {
-        intake.recordRejection(ClientRejection.SERVICE_MEMORY)
+    /** Returns which share of [service] has no room for a request that holds [bytes]; null if it may be served. */
+    private fun findSpentShare(service: PoolId, bytes: Int): ClientRejection? = when {
+        !connectionShares.hasRoom(service, units = 1) -> ClientRejection.SERVICE_CONNECTIONS
+        !intake.budget.mayServe(service, bytes) -> ClientRejection.SERVICE_MEMORY
+        else -> null
+    }
+
+    private fun startServing(service: PoolId, bytes: Int) {
+        intake.budget.startServing(account, service, bytes)
+        connectionShares.add(service, units = 1)
+        served = service
+    }
+
+    private fun endServing() {
+        intake.budget.endServing(account)
+        served?.let { connectionShares.remove(it, units = 1) }
+        served = null
+    }
+
+    private fun rejectForService(rejection: ClientRejection) {
+        intake.recordRejection(rejection)
         reject(RequestError.OVERLOADED)
     }
 
@@ -333,7 +357,7 @@
         if (current !== response) return
         current = null
         requestBytes = 0
-        intake.budget.endServing(account)
+        endServing()
         idleSince = clock.now()
         if (close) {
             context?.writeAndFlush(Unpooled.EMPTY_BUFFER)?.addListener(ChannelFutureListener.CLOSE)
@@ -354,6 +378,7 @@
         releaseDeferred()
         onClosed(this)
         response?.disconnectListener?.onDisconnect()
+        endServing()
         intake.budget.release(account)
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ClientIntake.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ClientIntake.kt
@@ -17,6 +17,9 @@
     /** The requests for one service hold their share of the memory. */
     SERVICE_MEMORY,
 
+    /** The requests for one service hold their share of the connections. */
+    SERVICE_CONNECTIONS,
+
     /** The number of open connections is at its bound. */
     CONNECTIONS,
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import org.arbutusnotch.core.forwarding.CallerLimits
+import org.arbutusnotch.core.forwarding.ServiceShares
 import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.telemetry.Clock
 import java.net.InetSocketAddress
@@ -56,6 +57,7 @@
     private val countsAnswers: Boolean = false,
 ) {
     private val connections = LinkedHashSet<CallerConnection>()
+    private val connectionShares = ServiceShares(maximumConnections)
     private var channel: Channel? = null
     private var draining = false
 
@@ -102,17 +104,27 @@
             .setMaxHeaderSize(currentLimits.headBytes)
             .setMaxChunkSize(MAXIMUM_CHUNK_BYTES)
         val decoder = RequestDecoder(decoderConfig)
-        val connection = CallerConnection(currentLimits, clock, handler, decoder, intake, countsAnswers) {
-            connections.remove(it)
-        }
+        val connection = CallerConnection(
+            limits = currentLimits,
+            clock = clock,
+            handler = handler,
+            decoder = decoder,
+            intake = intake,
+            connectionShares = connectionShares,
+            countsAnswers = countsAnswers,
+        ) { connections.remove(it) }
         connection.closesAfterResponse = draining
         connections += connection
         accepted.pipeline().addLast(connection.gate, decoder, connection)
     }
 
-    /** Closes the connection that has sent nothing for longest at the bound, and returns whether there is room. */
+    /** Closes a rejected connection at the bound, or the one that has sent nothing for longest; returns if it could. */
     private fun makeRoom(): Boolean {
         if (connections.size < maximumConnections) return true
+        connections.firstOrNull { it.isRejected }?.let {
+            it.close()
+            return true
+        }
         val longestIdle = connections.filter { it.mayYield }.minByOrNull { it.progressAt }
         if (longestIdle == null) {
             intake.recordRejection(ClientRejection.CONNECTIONS)
