--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/StopSoakTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/StopSoakTest.kt
@@ -1,5 +1,6 @@
 /*
- * Planned stops of instances while their servers pause, fail and reject requests.
+ * Planned stops of instances while their servers pause, fail and reject requests; some seeds have clients that send
+ * costly requests and stop short of their end.
  *
  * By hand: the properties `stop.seeds`, `stop.first` and `stop.parallel` set the number of seeds, the first one, and
  * how many run at once.
@@ -28,7 +29,7 @@
 
     /** The faults of all seeds, each with the log lines of its request. */
     private val faults by lazy {
-        val seeds = List(Integer.getInteger("stop.seeds", 2)) { it + Integer.getInteger("stop.first", 1) }
+        val seeds = List(Integer.getInteger("stop.seeds", 3)) { it + Integer.getInteger("stop.first", 1) }
         val executor = Executors.newFixedThreadPool(Integer.getInteger("stop.parallel", 2))
         executor.invokeAll(seeds.map { Callable { play(it) } }).flatMap { it.get() }.also { executor.shutdown() }
     }
