Count the memory of bytes that wait to be decoded at once

Bytes of clients that wait for their turn were only counted in the budget when their first piece was decoded, so that a crowd could hold 16 KB for each connection beside the budget. At the bound of connections, several that arrived in one pass of the event loop could each count on the same rejected connection to close, and a declared length above the limit of bodies could overflow.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
@@ -119,6 +119,10 @@
     val isRejected: Boolean
         get() = rejected
 
+    /** Whether the connection is only open so that its client can take the response that rejects it. */
+    val awaitsClose: Boolean
+        get() = rejected && !closing
+
     /** Whether the connection may be closed to make room for others. */
     val mayYield: Boolean
         get() = current == null && !hasUnwrittenAnswer && !isUnread && !rejected && !closing
@@ -151,6 +155,12 @@
         reserve()
     }
 
+    /** Stops reading, and reserves the memory of bytes that wait to be decoded. */
+    fun onBytesHeld() {
+        updateReading()
+        reserve()
+    }
+
     /** Reserves the memory that the connection holds now; rejects it and returns false if there is not enough. */
     private fun reserve(): Boolean {
         if (rejected || closed) return false
@@ -431,7 +441,7 @@
         close()
     }
 
-    private class ReceivingRequest(val head: RequestHead, val service: PoolId?, val bodyDeadline: Timestamp) {
+    private inner class ReceivingRequest(val head: RequestHead, val service: PoolId?, val bodyDeadline: Timestamp) {
         val body = RequestBodyCollector()
         private val headBytes =
             head.target.length + head.headers.sumOf { it.name.length + it.value.length + HEAP_BYTES_PER_FIELD }
@@ -442,7 +452,7 @@
 
         /** Memory that the request will hold while it is served, as far as its head tells. */
         val declaredBytes: Int
-            get() = servedBytes + (head.header("content-length")?.toIntOrNull() ?: 0)
+            get() = servedBytes + (head.header("content-length")?.toIntOrNull() ?: 0).coerceAtMost(limits.bodyBytes)
 
         /** Memory that the request holds while it is served. */
         val servedBytes: Int
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/HttpEndpoint.kt
@@ -121,7 +121,7 @@
     /** Closes a rejected connection at the bound, or the one that has sent nothing for longest; returns if it could. */
     private fun makeRoom(): Boolean {
         if (connections.size < maximumConnections) return true
-        connections.firstOrNull { it.isRejected }?.let {
+        connections.firstOrNull { it.awaitsClose }?.let {
             it.close()
             return true
         }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ReadGate.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ReadGate.kt
@@ -74,7 +74,7 @@
         turns.onReceived(account, context.executor())
         if (!isHolding) return
         isPaused = true
-        connection.updateReading()
+        connection.onBytesHeld()
     }
 
     private fun passPiece() {
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/http/ClientReadsTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/http/ClientReadsTest.kt
@@ -20,6 +20,7 @@
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
@@ -41,13 +42,14 @@
         responder.send(ResponseHead(200, "OK", emptyList()), "${request.body.size}".toByteArray())
         null
     }
+    private val budget = RequestMemoryBudget(64_000_000)
     private val endpoint = HttpEndpoint(
         socketAddress(address),
         group,
         clock,
         { limits },
         handler,
-        ClientIntake(RequestMemoryBudget(64_000_000), clock) {},
+        ClientIntake(budget, clock) {},
     )
     private val crowd = mutableListOf<RawCaller>()
     private val released = CountDownLatch(1)
@@ -119,6 +121,17 @@
         expectThat(answersOfCrowd().map { it?.status }).all { isEqualTo(200) }
     }
 
+    /** Guards against bytes that wait to be decoded and are not counted as memory of their connections. */
+    @Test
+    fun `memory of waiting bytes is counted`() {
+        val usedBytes = AtomicInteger()
+        blockBeforeCrowd(Kind.ONE_BYTE_CHUNKS) { usedBytes.set(budget.usedBytes) }
+        val before = budget.usedBytes
+        released.countDown()
+        expectThat(answersOfCrowd().map { it?.status }).all { isEqualTo(200) }
+        expectThat(usedBytes.get() - before).isGreaterThan(CROWD / 2 * Kind.ONE_BYTE_CHUNKS.text.length)
+    }
+
     private companion object {
         const val CROWD = 100
     }
