Schedule the next turn also when a turn fails

A turn that ended with an exception would have left no turn pending, and clients whose bytes wait would have waited for ever. Found by reading; no run shows it.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ReadGate.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ReadGate.kt
@@ -33,10 +33,13 @@
     fun remove(account: ReadAccount) = schedule.remove(account)
 
     private fun runTurn(executor: EventExecutor) {
-        schedule.runTurn()
-        isTurnPending = schedule.waitingConnections > 0
-        // A submitted task would run before the next pass of the event loop, a scheduled one runs after it.
-        if (isTurnPending) executor.schedule({ runTurn(executor) }, 0, TimeUnit.NANOSECONDS)
+        try {
+            schedule.runTurn()
+        } finally {
+            isTurnPending = schedule.waitingConnections > 0
+            // A submitted task would run before the next pass of the event loop, a scheduled one runs after it.
+            if (isTurnPending) executor.schedule({ runTurn(executor) }, 0, TimeUnit.NANOSECONDS)
+        }
     }
 }
 
