Keep the connections of requests that arrive without a stall

At the bound of connections, a new one closed the connection whose client had sent nothing for longest, even if its request was still arriving. A crowd that connects again and again thus ended uploads of other clients.

A request now yields its connection only after a second without progress. That this selection is the cause of the failure is concluded from its log and the code; the failure was not reproduced.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/CallerConnection.kt
@@ -125,7 +125,11 @@
 
     /** Whether the connection may be closed to make room for others. */
     val mayYield: Boolean
-        get() = current == null && !hasUnwrittenAnswer && !isUnread && !rejected && !closing
+        get() = current == null && !hasUnwrittenAnswer && !isUnread && !isArriving && !rejected && !closing
+
+    /** Whether a request arrives without a stall; a new connection must not end it. */
+    private val isArriving: Boolean
+        get() = (receiving != null || headDeadline != null) && clock.now() < account.progressAt + ARRIVAL_STALL
 
     /** Time at which the client last sent something. */
     val progressAt: Timestamp
@@ -559,6 +563,9 @@
         /** Time in which a client takes the response that rejects it. */
         val REJECTION_TIME = 1.seconds
 
+        /** Time without progress after which an incomplete request yields its connection at the bound. */
+        val ARRIVAL_STALL = 1.seconds
+
         /** Time in which a further part of a body must arrive. */
         val BODY_STALL_TIMEOUT = 5.seconds
 
