Lengthen the turns of decoding to 20 ms

With turns of 5 ms, ordinary requests waited longer in bursts: on a slow machine one or two of them fill a turn, and each held connection costs further passes of the event loop.

The tests keep their turns, crowds and bounds: the length is a parameter now.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ReadSchedule.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ReadSchedule.kt
@@ -41,9 +41,10 @@
 /**
  * Decides when received bytes are decoded.
  *
+ * @param turnNanos time in nanoseconds for which received bytes are decoded before other events are handled
  * @param nanoTime returns a time in nanoseconds that never goes back
  */
-public class ReadSchedule(private val nanoTime: () -> Long) {
+public class ReadSchedule(private val turnNanos: Long = TURN_NANOS, private val nanoTime: () -> Long) {
     private val waiting = LinkedHashSet<ReadAccount>()
 
     /** Time in nanoseconds that decoding has taken in this turn. */
@@ -58,7 +59,7 @@
         get() = waiting.size
 
     private val hasTime: Boolean
-        get() = spentNanos < TURN_NANOS
+        get() = spentNanos < turnNanos
 
     /** Decodes the bytes that [account] has just received; those for which there is no time wait for the next turn. */
     public fun onReceived(account: ReadAccount) {
@@ -116,8 +117,8 @@
         account.debtNanos + account.heldBytes * EXPECTED_NANOS_PER_BYTE <= CHEAP_NANOS
 
     private companion object {
-        /** Time in nanoseconds for which received bytes are decoded before other events are handled. */
-        const val TURN_NANOS = 5_000_000L
+        /** Several ordinary requests on a slow machine; after fewer, each of them pays for a pass of the event loop. */
+        const val TURN_NANOS = 20_000_000L
 
         /** Debt and expected work in nanoseconds up to which a connection goes first. */
         const val CHEAP_NANOS = 1_000_000L
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/ReadScheduleTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/forwarding/ReadScheduleTest.kt
@@ -8,7 +8,7 @@
 
 class ReadScheduleTest {
     private var nanos = 0L
-    private val schedule = ReadSchedule { nanos }
+    private val schedule = ReadSchedule(turnNanos = 5_000_000) { nanos }
     private val decoded = mutableListOf<String>()
 
     /** Receives [bytes], each of which takes a microsecond, and is decoded in pieces of 1,000 bytes. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ClientIntake.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ClientIntake.kt
@@ -33,15 +33,15 @@
 /**
  * Holds the budget for the memory of requests and the turns in which they are decoded, and reports the rejections.
  *
+ * @param turns decides when the instance decodes what clients have sent
  * @param count is called for each rejection
  */
 internal class ClientIntake(
     val budget: RequestMemoryBudget,
     private val clock: Clock,
+    val turns: ReadTurns = ReadTurns(),
     private val count: (ClientRejection) -> Unit,
 ) {
-    /** Decides when the instance decodes what clients have sent. */
-    val turns = ReadTurns()
     private val log = EventLog("intake")
     private val unreported = LinkedHashMap<ClientRejection, Int>()
     private var nextReportAt = Timestamp(0)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ReadGate.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ReadGate.kt
@@ -14,8 +14,7 @@
 import java.util.concurrent.TimeUnit
 
 /** Runs the turns of a [ReadSchedule], each after the event loop has handled the events of one pass. */
-internal class ReadTurns {
-    private val schedule = ReadSchedule(System::nanoTime)
+internal class ReadTurns(private val schedule: ReadSchedule = ReadSchedule(nanoTime = System::nanoTime)) {
     private var isTurnPending = false
 
     /** Number of connections whose received bytes wait to be decoded. */
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/http/ClientReadsTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/http/ClientReadsTest.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import org.arbutusnotch.core.forwarding.CallerLimits
+import org.arbutusnotch.core.forwarding.ReadSchedule
 import org.arbutusnotch.core.forwarding.RequestMemoryBudget
 import org.arbutusnotch.forwarding.fixture.RawCaller
 import org.arbutusnotch.forwarding.fixture.TestPorts
@@ -49,7 +50,7 @@
         clock,
         { limits },
         handler,
-        ClientIntake(budget, clock) {},
+        ClientIntake(budget, clock, ReadTurns(ReadSchedule(TURN_NANOS, System::nanoTime))) {},
     )
     private val crowd = mutableListOf<RawCaller>()
     private val released = CountDownLatch(1)
@@ -134,5 +135,6 @@
 
     private companion object {
         const val CROWD = 100
+        const val TURN_NANOS = 5_000_000L
     }
 }
