--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ReadSchedule.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/ReadSchedule.kt
@@ -117,7 +117,7 @@
         account.debtNanos + account.heldBytes * EXPECTED_NANOS_PER_BYTE <= CHEAP_NANOS
 
     private companion object {
-        /** Several ordinary requests on a slow machine; after fewer, each of them pays for a pass of the event loop. */
+        /** Default length of a turn; scores on the bench were lower with 5 ms (docs/design/request-memory.md). */
         const val TURN_NANOS = 20_000_000L
 
         /** Debt and expected work in nanoseconds up to which a connection goes first. */
