--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/RequestValidator.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/RequestValidator.kt
@@ -19,7 +19,6 @@
 }
 
 internal object RequestValidator {
-    private const val TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~"
     private const val DELETE_CHARACTER = 127
 
     /** Returns the first error in [head], or null when it is valid. */
@@ -37,16 +36,11 @@
     }
 
     private fun isWellFormed(head: RequestHead): Boolean {
-        val validLine = isToken(head.method) && isTarget(head.target)
-        val validHeaders = head.headers.all { isToken(it.name) && !hasControlCharacters(it.value) }
+        val validLine = HttpSyntax.isToken(head.method) && isTarget(head.target)
+        val validHeaders = head.headers.all { HttpSyntax.isToken(it.name) && !hasControlCharacters(it.value) }
         return validLine && validHeaders && head.count("host") == 1
     }
 
-    private fun isToken(text: String) = text.isNotEmpty() && text.all { isTokenCharacter(it) }
-
-    private fun isTokenCharacter(character: Char) =
-        character in 'a'..'z' || character in 'A'..'Z' || character in '0'..'9' || character in TOKEN_PUNCTUATION
-
     private fun isTarget(text: String) = text.startsWith('/') && text.none { it <= ' ' || it.code == DELETE_CHARACTER }
 
     private fun isLength(text: String) = text.isNotEmpty() && text.all { it in '0'..'9' }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
@@ -22,12 +22,9 @@
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
@@ -369,25 +366,3 @@
         const val KEEPALIVE_PROBES = 2
     }
 }
-
-/**
- * Decodes one response; the response to a HEAD request has no body. A status that is no number of three digits from 100
- * to 599 makes it malformed, and so does an interim status with a body or one that ends HTTP on the connection.
- */
-private class ResponseDecoder(private val isHead: Boolean) :
-    HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEAD_BYTES).setMaxChunkSize(MAXIMUM_CHUNK_BYTES)) {
-    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isHead || super.isContentAlwaysEmpty(message)
-
-    override fun createMessage(initialLine: Array<out String>): HttpMessage {
-        val status = initialLine[1]
-        require(STATUS.matches(status) && status != SWITCHING_PROTOCOLS) { "invalid status $status" }
-        return super.createMessage(initialLine)
-    }
-
-    private companion object {
-        val STATUS = Regex("[1-5][0-9]{2}")
-        const val SWITCHING_PROTOCOLS = "101"
-        const val MAXIMUM_HEAD_BYTES = 65_536
-        const val MAXIMUM_CHUNK_BYTES = 65_536
-    }
-}
