Escape and shorten what a failure quotes of a server's answer

A caller whose server sent a field name with a control byte got a 502 whose X-Refusal-Reason held that byte, NUL and carriage return included. The head of the 502 was no valid HTTP then. A long name was quoted in whole: 30 KB in the head.

Cause: the reason of a failure is the message of the decoder, which quotes the name, and was written as a field without a check. Log lines escape it already.

A reason is now written as visible ASCII, with other characters as \uXXXX, and is cut after 160 characters. Codes, which refusals name, are unchanged by this.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/LocalResponses.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/LocalResponses.kt
@@ -23,6 +23,9 @@
     private const val REASON_HEADER = "X-Refusal-Reason"
     private const val OUTCOME_HEADER = "X-Outcome"
 
+    /** Characters of a reason before escaping; callers accept heads of a few kilobytes. */
+    private const val MAXIMUM_REASON_CHARACTERS = 160
+
     /**
      * Returns a response with [status] that states that the request did not run and will not. [retryAfter] is null if
      * the request cannot run later either.
@@ -31,7 +34,7 @@
         val headers = listOfNotNull(
             retryAfter?.let { HeaderField("Retry-After", seconds(it)) },
             HeaderField(OUTCOME_HEADER, "not_run"),
-            HeaderField(REASON_HEADER, reason),
+            reasonField(reason),
         )
         val phrase = if (status == TOO_MANY_REQUESTS) "Too Many Requests" else "Service Unavailable"
         return ResponseHead(status, phrase, headers)
@@ -46,10 +49,18 @@
         return ResponseHead(
             status,
             phrase,
-            listOf(HeaderField(OUTCOME_HEADER, "unknown"), HeaderField(REASON_HEADER, reason)),
+            listOf(HeaderField(OUTCOME_HEADER, "unknown"), reasonField(reason)),
         )
     }
 
+    /** A reason may quote what a server sent, of any length and with bytes that are not allowed in a field. */
+    private fun reasonField(reason: String): HeaderField {
+        val escaped = reason.take(MAXIMUM_REASON_CHARACTERS).map {
+            if (it in ' '..'~') it.toString() else "\\u%04x".format(it.code)
+        }
+        return HeaderField(REASON_HEADER, escaped.joinToString(separator = ""))
+    }
+
     /** Returns a response that states that the request did not run, because it carries no valid key. */
     fun unauthenticated(): ResponseHead {
         val headers = listOf(
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/InvalidFieldTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/InvalidFieldTest.kt
@@ -21,8 +21,11 @@
 import org.junit.jupiter.params.provider.EnumSource
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.assertions.all
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
+import strikt.assertions.isIn
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotEmpty
 import strikt.assertions.isNull
 import java.util.concurrent.CopyOnWriteArrayList
@@ -228,7 +231,24 @@
         expectThat(instance.call("/once/x", "r3")?.body).isEqualTo("whole")
     }
 
+    /** Guards against bytes of a broken answer in the head of the failure that reports it. */
+    @ParameterizedTest
+    @EnumSource
+    fun `failure is reported without the bytes that are not allowed in a field`(line: InvalidLine) {
+        val answer = instance { invalid(line) }.call("/once/x", "r1")
+        expectThat(answer?.header("x-refusal-reason").orEmpty().toList()).isNotEmpty().all { isIn(' '..'~') }
+    }
+
+    /** Guards against a failure whose head no caller accepts, since it quotes a name of any length. */
+    @Test
+    fun `failure is reported without the whole name of a field`() {
+        val answer = instance { answer(headers = "${"x".repeat(LONG_NAME)}\u0001: v\r\n") }.call("/once/x", "r1")
+        expectThat(answer?.status).isEqualTo(502)
+        expectThat(answer?.headers.orEmpty().sumOf { (name, value) -> name.length + value.length }).isLessThan(1_000)
+    }
+
     private companion object {
+        const val LONG_NAME = 30_000
         const val OPEN_MILLIS = 6_000
         const val EVENT = "id: 1\ndata: token 1\n\n"
         const val ODD_EVENT = "id: 1\ndata: odd\n\n"
