Reject answers with a control character in the reason

A server's status line such as `HTTP/1.1 200 O<01>K` reached the caller byte for byte, NUL included, although such a line is no HTTP and callers may reject it or end it there.

Cause: the decoder rejects only line breaks in a reason, and the head for the caller repeats it as received. ResponseDecoder rejects all control characters but tabs now, before the head exists, so that the answer is broken like one with an invalid status.

Evidence: InvalidStatusTest, six control characters: 5 of 6 failed before (carriage returns were rejected already), none after; tabs, high bytes and an empty reason still pass. The new lines of InvalidFieldTest with control characters in and beside a value were rejected before.

Not changed: blanks before a status line and several blanks or a tab after its version, and versions other than 1.0 and 1.1, are accepted; none of them reaches the caller.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ResponseDecoder.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ResponseDecoder.kt
@@ -19,8 +19,9 @@
 
 /**
  * Decodes one response; the response to a HEAD request has no body. A status that is no number of three digits from 100
- * to 599 makes it malformed, and so does an interim status with a body or one that ends HTTP on the connection, and a
- * line of a head that does not begin with the name of a field and a colon (RFC 9112, section 5).
+ * to 599 makes it malformed, and so does an interim status with a body or one that ends HTTP on the connection, a
+ * control character in the reason, and a line of a head that does not begin with the name of a field and a colon
+ * (RFC 9112, sections 4 and 5).
  */
 internal class ResponseDecoder(private val isHead: Boolean) :
     HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEAD_BYTES).setMaxChunkSize(MAXIMUM_CHUNK_BYTES)) {
@@ -33,8 +34,9 @@
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = isHead || super.isContentAlwaysEmpty(message)
 
     override fun createMessage(initialLine: Array<out String>): HttpMessage {
-        val status = initialLine[1]
+        val (_, status, reason) = initialLine
         require(STATUS.matches(status) && status != SWITCHING_PROTOCOLS) { "invalid status $status" }
+        require(reason.none { it in CONTROL_CHARACTERS }) { "invalid reason $reason" }
         val message = super.createMessage(initialLine)
         isInFields = true
         fieldsStart = internalBuffer().readerIndex()
@@ -78,6 +80,9 @@
     private companion object {
         val STATUS = Regex("[1-5][0-9]{2}")
         const val SWITCHING_PROTOCOLS = "101"
+
+        /** Characters that a reason must not contain; a tab is allowed. */
+        val CONTROL_CHARACTERS = ('\u0000'..'\u001f').toSet() - '\t' + '\u007f'
         const val MAXIMUM_HEAD_BYTES = 65_536
         const val MAXIMUM_CHUNK_BYTES = 65_536
         const val REPORTED_CHARACTERS = 80
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/InvalidFieldTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/InvalidFieldTest.kt
@@ -64,6 +64,11 @@
         CARRIAGE_RETURN_IN_NAME("x\ry: v"),
         DELETE_IN_NAME("x\u007fy: v"),
         HIGH_BYTE_IN_NAME("x\u00e9y: v"),
+        CONTROL_BEFORE_VALUE("x:\u000bv"),
+        CONTROL_IN_VALUE("x: v\u0001w"),
+        CONTROL_AFTER_VALUE("x: v\u001c"),
+        LENGTH_AFTER_CONTROL("Content-Length:\u000b2"),
+        LENGTH_BEFORE_CONTROL("Content-Length: 2\u001c"),
     }
 
     @AfterEach
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/InvalidStatusTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/InvalidStatusTest.kt
@@ -1,5 +1,5 @@
 /*
- * Answers whose status line has no valid final status.
+ * Answers whose status line has no valid final status or an invalid reason.
  */
 package org.arbutusnotch.forwarding
 
@@ -72,6 +72,24 @@
         expectThat(arrivals.size).isEqualTo(1)
     }
 
+    /** Guards against a status line that its caller cannot accept. */
+    @ParameterizedTest
+    @ValueSource(ints = [0x00, 0x01, 0x0b, 0x0d, 0x1b, 0x7f])
+    fun `call with a control byte in the reason fails at once`(byte: Int) {
+        val answer = instance("200 A${byte.toChar()}B").call("/once/x", "r1")
+        expectThat(answer?.status).isEqualTo(502)
+        expectThat(arrivals.size).isEqualTo(1)
+    }
+
+    /** Guards against valid answers that fail because of their reason. */
+    @ParameterizedTest
+    @ValueSource(strings = ["200", "200 ", "200 Tab\tand blank", "200 \u00e9"])
+    fun `answer with any other reason is forwarded`(status: String) {
+        val server = server { answer(status = status, body = "whole") }
+        val fixture = InstanceFixture(testRoutes(), listOf(testServer("s", server.address))).also { resources += it }
+        expectThat(fixture.call("/once/x", "r1")?.body).isEqualTo("whole")
+    }
+
     /** Guards against an idempotent call that no other server repeats. */
     @ParameterizedTest
     @ValueSource(strings = ["000", "101", "600", "+200"])
