Reject answers with an invalid line on the product's own interface too

The daemon repaired the same lines: of a service that sent `Content-Length x: 2` beside a body without a length its caller got two bytes as the whole answer, `Transfer-Encoding x: chunked` framed a body, and `retry-after x: 9` on a 429 was taken as a pause.

Cause: Armeria's client decodes with Netty's HttpClientCodec, which cannot be extended. ResponseGuard is now the first handler of its connections. It decodes the same bytes with ResponseDecoder and closes the connection before the codec gets a malformed part, so that the request counts as broken after it was written (outcome unknown). ResponseDecoder moves to the module arbutusnotch-http, which both interfaces use.

Not covered: the operators' tool and the load generator read answers of instances and of emulators with Armeria's decoder as before.

--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/Daemon.kt
@@ -7,7 +7,6 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
-import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.common.util.EventLoopGroups
 import com.linecorp.armeria.server.Server
 import kotlinx.coroutines.CompletableDeferred
@@ -30,6 +29,7 @@
 import org.arbutusnotch.daemon.backend.EngineClient
 import org.arbutusnotch.daemon.backend.SUPERVISION_INTERVAL
 import org.arbutusnotch.daemon.backend.ServiceClient
+import org.arbutusnotch.daemon.backend.daemonClientFactory
 import org.arbutusnotch.daemon.control.ConfigurationExchange
 import org.arbutusnotch.daemon.control.ControlEvent
 import org.arbutusnotch.daemon.control.ControlLoop
@@ -78,7 +78,7 @@
     private val tableUpdater = TableUpdater(state, clock.now())
     private val counters = Counters()
     private val transport = PeerTransport()
-    private val clientFactory = ClientFactory.builder().workerGroup(settings.limits.workerThreads).build()
+    private val clientFactory = daemonClientFactory(settings.limits.workerThreads)
     private val engine = EngineClient(clientFactory, clock::now)
     private val services = ServiceClient(clientFactory, clock = clock::now)
     private val pending = PendingReservations()
--- a/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/backend/BackendHttp.kt
+++ b/arbutusnotch-daemon/src/main/kotlin/org/arbutusnotch/daemon/backend/BackendHttp.kt
@@ -11,6 +11,8 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.ClientFactoryBuilder
+import com.linecorp.armeria.client.ClientFactoryOptions
 import com.linecorp.armeria.client.ClientRequestContext
 import com.linecorp.armeria.client.Clients
 import com.linecorp.armeria.client.RequestOptions
@@ -33,7 +35,9 @@
 import kotlinx.coroutines.future.await
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.http.ResponseGuard
 import java.time.Duration
+import java.util.function.Consumer
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Creates the client factory, with its connection pool, for backend servers; the caller closes it. */
@@ -42,8 +46,19 @@
     .idleTimeout(CONNECTION_IDLE_TIMEOUT)
     .useHttp1Pipelining(false)
     .maxNumEventLoopsPerHttp1Endpoint(1)
+    .rejectMalformedResponses()
     .build()
 
+/** Creates the client factory of the daemon, which uses [workerThreads] threads; the caller closes it. */
+internal fun daemonClientFactory(workerThreads: Int): ClientFactory = ClientFactory.builder()
+    .workerGroup(workerThreads)
+    .rejectMalformedResponses()
+    .build()
+
+/** Breaks off a response in whose head Armeria would accept lines that are no header fields. */
+private fun ClientFactoryBuilder.rejectMalformedResponses(): ClientFactoryBuilder =
+    option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, Consumer { it.addFirst(ResponseGuard()) })
+
 /**
  * Describes one request to [server].
  *
--- a/arbutusnotch-daemon/src/test/kotlin/org/arbutusnotch/daemon/backend/FailureClassificationTest.kt
+++ b/arbutusnotch-daemon/src/test/kotlin/org/arbutusnotch/daemon/backend/FailureClassificationTest.kt
@@ -4,6 +4,7 @@
  */
 package org.arbutusnotch.daemon.backend
 
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import com.linecorp.armeria.client.ClientFactory
 import kotlinx.coroutines.async
@@ -20,6 +21,8 @@
 import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
@@ -37,10 +40,11 @@
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class FailureClassificationTest {
     private val factory: ClientFactory = backendClientFactory()
+    private val daemonFactory: ClientFactory = daemonClientFactory(workerThreads = 1)
     private val client = ServiceClient(factory)
 
     @AfterAll
-    fun closeFactory() = factory.close()
+    fun closeFactories() = listOf(factory, daemonFactory).forEach { it.close() }
 
     /** Guards against the outcome `unknown` for a request that no server can have received. */
     @Test
@@ -105,6 +109,48 @@
         }
     }
 
+    /** Guards against a body, a status or a pause that lines state which are no header fields. */
+    @ParameterizedTest
+    @CsvSource(
+        "200 OK, x y: v",
+        "200 OK, Content-Length x: 2",
+        "200 OK, Transfer-Encoding : chunked",
+        "429 Busy, retry-after x: 9",
+    )
+    fun `a response with an invalid line may have run the request`(status: String, line: String) = test {
+        val heads = listOf("$line\r\ncontent-type: a", "content-type: a\r\n$line", "content-type: a\r\n $line")
+        val clients = listOf(client, ServiceClient(daemonFactory))
+        for ((head, client) in heads.flatMap { head -> clients.map { head to it } }) {
+            RawServer { connection ->
+                connection.readBody(connection.readHead().orEmpty())
+                connection.write("HTTP/1.1 $status\r\n$head\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+            }.use { server ->
+                val error = client.call(server.id, call("1")).getError()
+
+                expectThat(error).isA<BackendError.BrokenAfterWrite>()
+            }
+        }
+    }
+
+    /** Guards against valid responses on one connection that fail because of an earlier one. */
+    @Test
+    fun `responses that follow each other on a connection are complete`() = test {
+        val written = listOf(
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nx y: \r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n x: y",
+        )
+        RawServer { connection ->
+            generateSequence { connection.readHead() }.forEachIndexed { index, head ->
+                connection.readBody(head)
+                connection.write(written[index % written.size])
+            }
+        }.use { server ->
+            val responses = List(4) { client.call(server.id, call("$it")).get() }
+
+            expectThat(responses.map { it?.body?.decodeToString() }).containsExactly("x y: ", " x: y", "x y: ", " x: y")
+        }
+    }
+
     /** Guards against automatic retries or redirects of the HTTP client, which would run the operation twice. */
     @Test
     fun `a failed request reaches the server once`() = test {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/RequestValidator.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/RequestValidator.kt
@@ -6,6 +6,8 @@
  */
 package org.arbutusnotch.forwarding.http
 
+import org.arbutusnotch.http.HttpSyntax
+
 /** Describes why a request is rejected, with the status of the response. */
 internal enum class RequestError(val status: Int, val reason: String) {
     MALFORMED(400, "Bad Request"),
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
@@ -31,6 +31,7 @@
 import jdk.net.ExtendedSocketOptions
 import org.arbutusnotch.core.forwarding.AnswerBufferBudget
 import org.arbutusnotch.core.forwarding.BufferedAnswer
+import org.arbutusnotch.http.ResponseDecoder
 import java.net.ConnectException
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ResponseDecoder.kt
+++ b/arbutusnotch-http/src/main/kotlin/org/arbutusnotch/http/ResponseDecoder.kt
@@ -5,7 +5,7 @@
  * and joins a line that begins with a blank to the line before. The repaired head can state a length, a transfer coding
  * or an outcome that its sender did not state. The lines are therefore checked as they were received.
  */
-package org.arbutusnotch.forwarding.http
+package org.arbutusnotch.http
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
@@ -23,7 +23,7 @@
  * control character in the reason, and a line of a head that does not begin with the name of a field and a colon
  * (RFC 9112, sections 4 and 5).
  */
-internal class ResponseDecoder(private val isHead: Boolean) :
+public class ResponseDecoder(private val isHead: Boolean) :
     HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEAD_BYTES).setMaxChunkSize(MAXIMUM_CHUNK_BYTES)) {
     /** Whether the status line of a head was decoded, but not all of its fields. */
     private var isInFields = false
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/http/ResponseDecoderTest.kt
+++ b/arbutusnotch-http/src/test/kotlin/org/arbutusnotch/http/ResponseDecoderTest.kt
@@ -1,7 +1,7 @@
 /*
  * Heads of responses that arrive in parts.
  */
-package org.arbutusnotch.forwarding.http
+package org.arbutusnotch.http
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
@@ -19,7 +19,7 @@
 
 class ResponseDecoderTest {
     /** Holds what the decoder has made of a response; [failure] is null if the response is well-formed so far. */
-    private class Decoded(val failure: String?, val fields: List<HeaderField>, val body: String)
+    private class Decoded(val failure: String?, val fields: List<Pair<String, String>>, val body: String)
 
     /** Decodes [parts], each of which arrives alone. */
     private fun decode(parts: List<String>): Decoded {
@@ -28,7 +28,7 @@
         val messages = generateSequence { channel.readInbound<HttpObject>() }.toList()
         val failures = messages.mapNotNull { it.decoderResult().cause()?.message }
         val fields = messages.filterIsInstance<HttpResponse>().flatMap { it.headers().entries() }
-            .map { HeaderField(it.key, it.value) }
+            .map { it.key to it.value }
         val body = messages.filterIsInstance<HttpContent>()
             .joinToString("") { it.content().toString(Charsets.ISO_8859_1) }
         channel.finishAndReleaseAll()
@@ -90,10 +90,10 @@
     @ValueSource(strings = ["x y: v\r\n\r\n", " x: v\r\n", "HTTP/1.1 200 OK\r\nx y: v\r\n\r\n"])
     fun `valid response is decoded in any division`(body: String) {
         val fields = listOf(
-            HeaderField("id", "1"),
-            HeaderField("!#$%&'*+-.^_`|~9", "a b: c"),
-            HeaderField("empty", ""),
-            HeaderField("padded", "v"),
+            "id" to "1",
+            "!#$%&'*+-.^_`|~9" to "a b: c",
+            "empty" to "",
+            "padded" to "v",
         )
         val head = "HTTP/1.1 200 OK\r\nid:1\r\n!#$%&'*+-.^_`|~9: a b: c\r\nempty:\r\npadded: \t v \t\r\n"
         val chunks = "${Integer.toHexString(body.length)}\r\n$body\r\n0\r\n\r\n"
