Bound late streams of a shutdown by their declared maximum

Cause: the work of a generation had one length, the caller's estimate in place of the maximum where there was one. A shutdown read it as the length, and the pace of engines was the time divided by it, so that wrong estimates looked like slow engines. With another instance that serves, late streams were refused; here none did.

Change: a request carries its estimate and its maximum. From 2.5 s after the signal a stream begins to run only if its maximum ends in time at the observed time between events; before that the estimate counts too. This is checked again when estimates stop to count, and before each further send. Where no other instance serves, Retry-After says when one will. The log names what a decision rested on. The messages between instances are unchanged on the wire.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/FairOrder.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/FairOrder.kt
@@ -58,7 +58,7 @@
         /** Returns the service that a place for [entry] is. */
         fun serviceOf(entry: WaitingRequest): Double = when (val work = entry.work) {
             is DispatchWork.Call -> 1.0
-            is DispatchWork.Generation -> (work.promptTokens + work.outputTokens).toDouble()
+            is DispatchWork.Generation -> (work.promptTokens + work.expectedOutputTokens).toDouble()
         }
 
         /** Returns the keys of [entry], from its workspace to its failure domain. */
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -316,7 +316,7 @@
 
     /** Reserves only the average memory of a run, which grows with its output. */
     private fun reservedTokens(work: DispatchWork.Generation): Int =
-        work.promptTokens + (work.outputTokens * AVERAGE_OUTPUT_SHARE).toInt()
+        work.promptTokens + (work.expectedOutputTokens * AVERAGE_OUTPUT_SHARE).toInt()
 
     private fun hasRoom(tracked: TrackedServer, tokens: Int, now: Timestamp): Boolean {
         val used = tracked.usedTokens
@@ -377,16 +377,16 @@
     }
 
     private fun observeRun(tracked: TrackedServer, place: UsedPlace, release: DispatchRelease, now: Timestamp) {
-        if (place.outputTokens == 0) return
+        if (place.expectedOutputTokens == 0) return
         val prefillDuration = place.directPrefillUntil?.let { it - place.grantedAt } ?: Duration.ZERO
         val elapsed = (release.elapsedMillis.milliseconds - prefillDuration).coerceAtLeast(Duration.ZERO)
-        outputSpeed.observe(units = place.outputTokens.toDouble(), elapsed = elapsed, count = 1, now = now)
-        tracked.outputTime.observe(place.outputTokens, elapsed, now)
+        outputSpeed.observe(units = place.expectedOutputTokens.toDouble(), elapsed = elapsed, count = 1, now = now)
+        tracked.outputTime.observe(place.expectedOutputTokens, elapsed, now)
     }
 
     override fun expectedRunTime(entry: WaitingRequest): Duration {
         val work = entry.work as? DispatchWork.Generation ?: return Duration.ZERO
-        return (outputSpeed.timePerUnit ?: Duration.ZERO) * work.outputTokens
+        return (outputSpeed.timePerUnit ?: Duration.ZERO) * work.expectedOutputTokens
     }
 
     override fun minimumTimeToFirstEvent(entry: WaitingRequest, now: Timestamp): Duration =
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -283,7 +283,7 @@
         tracked.places[key] = UsedPlace(
             holder = holder,
             tokens = held.tokens,
-            outputTokens = 0,
+            expectedOutputTokens = 0,
             directPrefillUntil = null,
             queuedPromptTokens = 0,
             grantedAt = now,
@@ -491,7 +491,7 @@
         places.prefill?.let { occupy(it, entry, PlacePart.PREFILL, now) }
         occupy(places.run, entry, PlacePart.RUN, now)
         shares.record(entry, now)
-        (entry.work as? DispatchWork.Generation)?.let { demand.observe(it.promptTokens, it.outputTokens) }
+        (entry.work as? DispatchWork.Generation)?.let { demand.observe(it.promptTokens, it.expectedOutputTokens) }
         val decision = DispatchDecision.Granted(
             ticket = entry.ticket,
             holder = entry.holder,
@@ -509,7 +509,7 @@
         place.tracked.places[PlaceKey(entry.ticket, part)] = UsedPlace(
             holder = entry.holder,
             tokens = place.tokens,
-            outputTokens = (entry.work as? DispatchWork.Generation)?.outputTokens ?: 0,
+            expectedOutputTokens = (entry.work as? DispatchWork.Generation)?.expectedOutputTokens ?: 0,
             directPrefillUntil = place.directPrefillTime?.let { now + it },
             queuedPromptTokens = place.queuedPromptTokens,
             grantedAt = now,
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolPace.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolPace.kt
@@ -73,8 +73,12 @@
     /** Returns the work of [place]; 0 for a run that another dispatcher granted, whose output is not known. */
     private fun unitsOf(place: UsedPlace, part: PlacePart): Double = when {
         part == PlacePart.PREFILL -> WorkUnits.of(ReservationKind.PREFILL, place.queuedPromptTokens + place.tokens)
-        place.outputTokens > 0 -> WorkUnits.of(ReservationKind.DECODE, place.outputTokens + RUN_OVERHEAD_TOKENS)
+
+        place.expectedOutputTokens > 0 ->
+            WorkUnits.of(ReservationKind.DECODE, place.expectedOutputTokens + RUN_OVERHEAD_TOKENS)
+
         place.tokens > 0 -> 0.0
+
         else -> WorkUnits.of(ReservationKind.SERVICE, 1)
     }
 
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/TrackedServer.kt
@@ -19,7 +19,7 @@
  * Describes a place in use.
  *
  * @property tokens memory that the place takes, or prompt tokens to process for [PlacePart.PREFILL]
- * @property outputTokens tokens that the request is expected to generate
+ * @property expectedOutputTokens tokens that the request is expected to generate
  * @property directPrefillUntil time until which the server of the run is expected to prefill the prompt itself; null
  * when a prefill server does so
  * @property queuedPromptTokens prompt tokens that a prefill server already had to process
@@ -28,7 +28,7 @@
 internal class UsedPlace(
     val holder: InstanceId,
     val tokens: Int,
-    val outputTokens: Int,
+    val expectedOutputTokens: Int,
     val directPrefillUntil: Timestamp?,
     val queuedPromptTokens: Int,
     val grantedAt: Timestamp,
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/message/DispatchMessages.kt
@@ -33,14 +33,14 @@
      * A generation.
      *
      * @property promptTokens tokens of the prompt
-     * @property outputTokens tokens that are expected to be generated
+     * @property expectedOutputTokens tokens that the request is expected to generate; it may generate more
      * @property direct whether the decode server is to prefill the prompt itself
      */
     @Serializable
     @SerialName("g")
     public data class Generation(
         @SerialName("p") public val promptTokens: Int,
-        @SerialName("o") public val outputTokens: Int,
+        @SerialName("o") public val expectedOutputTokens: Int,
         @SerialName("d") public val direct: Boolean = false,
     ) : DispatchWork
 }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/DispatchCostTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/DispatchCostTest.kt
@@ -43,7 +43,7 @@
 
     private fun submit(): List<DispatchDecision> {
         val number = fixture.dispatcher.queueLength
-        val work = DispatchWork.Generation(promptTokens = 3_000, outputTokens = 50 + number % 40)
+        val work = DispatchWork.Generation(promptTokens = 3_000, expectedOutputTokens = 50 + number % 40)
         val holder = InstanceId(InstanceAddress("127.0.0.1:${number % HOLDERS}"), Incarnation(1))
         return fixture.submit(
             fixture.request(work, objective = 900.milliseconds, remaining = 14.seconds, holder = holder),
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/GenerationDispatchTest.kt
@@ -288,8 +288,8 @@
             fixture.advance(STEP)
         }
         val onTime = started.count { (arrival, firstEventAt) -> firstEventAt - arrival.at <= OBJECTIVE }
-        val longRequests = arrivals.values.filter { it.work.outputTokens >= LONG_OUTPUT_TOKENS }
-        val longServed = started.count { it.first.work.outputTokens >= LONG_OUTPUT_TOKENS }
+        val longRequests = arrivals.values.filter { it.work.expectedOutputTokens >= LONG_OUTPUT_TOKENS }
+        val longServed = started.count { it.first.work.expectedOutputTokens >= LONG_OUTPUT_TOKENS }
         return Result(
             capacity = capacity(),
             onTime = onTime.toDouble(),
@@ -301,9 +301,9 @@
 
     /** Returns the number of requests of mean size and mean run time that the decode memory can serve under load. */
     private fun capacity(): Double {
-        val meanTokens = arrivals.values.map { it.work.promptTokens + it.work.outputTokens }.average()
+        val meanTokens = arrivals.values.map { it.work.promptTokens + it.work.expectedOutputTokens }.average()
         val meanRunSeconds =
-            arrivals.values.map { it.work.outputTokens * OUTPUT_TOKEN_TIME.inWholeMilliseconds }.average() /
+            arrivals.values.map { it.work.expectedOutputTokens * OUTPUT_TOKEN_TIME.inWholeMilliseconds }.average() /
                 MILLIS_PER_SECOND
         return DECODE_MEMORY_TOKENS / meanTokens / meanRunSeconds * seconds
     }
@@ -313,7 +313,7 @@
     private fun submitNext() {
         val work = DispatchWork.Generation(
             promptTokens = 1_500 + random.nextInt(3_000),
-            outputTokens =
+            expectedOutputTokens =
             20 + random.nextInt(100),
         )
         val request = fixture.request(work, objective = OBJECTIVE, remaining = 14.seconds)
@@ -327,10 +327,10 @@
         completions += Completion(clock + prefillTime, decision, PlacePart.PREFILL, prefillTime)
         completions +=
             Completion(
-                clock + prefillTime + OUTPUT_TOKEN_TIME * arrival.work.outputTokens,
+                clock + prefillTime + OUTPUT_TOKEN_TIME * arrival.work.expectedOutputTokens,
                 decision,
                 PlacePart.RUN,
-                OUTPUT_TOKEN_TIME * arrival.work.outputTokens,
+                OUTPUT_TOKEN_TIME * arrival.work.expectedOutputTokens,
             )
         started += arrival to clock + prefillTime
     }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/LoadSimulation.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/LoadSimulation.kt
@@ -145,7 +145,7 @@
         val prefillTime = PROMPT_TOKEN_TIME * played.work.promptTokens * (if (granted.prefillServer == null) 3 else 1)
         val speed = speeds[granted.server.value.drop(1).toInt()]
         val length = Random(played.seed).nextDouble(SHORTEST_OUTPUT, LONGEST_OUTPUT)
-        val runTime = OUTPUT_TOKEN_TIME * played.work.outputTokens * length / speed
+        val runTime = OUTPUT_TOKEN_TIME * played.work.expectedOutputTokens * length / speed
         val giveUpAt = played.at + played.remaining
         val endAt = clock + prefillTime + runTime
         played.firstEventAt = clock + prefillTime
@@ -153,7 +153,7 @@
             hold(granted, PlacePart.PREFILL, granted.prefillServer, played.work.promptTokens)
             events += Event(clock + prefillTime) { release(granted, PlacePart.PREFILL, elapsed = prefillTime) }
         }
-        hold(granted, PlacePart.RUN, granted.server, played.work.promptTokens + played.work.outputTokens)
+        hold(granted, PlacePart.RUN, granted.server, played.work.promptTokens + played.work.expectedOutputTokens)
         val elapsed = if (granted.prefillServer == null) prefillTime + runTime else runTime
         events += if (endAt <= giveUpAt) {
             Event(endAt) {
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/PlaceExplanationTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/PlaceExplanationTest.kt
@@ -85,7 +85,7 @@
         val servers = listOf("p1", "p2").map { server(it, ServerStage.PREFILL) } +
             listOf("d1", "d2").map { server(it, ServerStage.DECODE) }
         val fixture = DispatchFixture(servers, EngineProfile(slots = 8, memoryTokens = 40_000))
-        val work = DispatchWork.Generation(promptTokens = 2_000, outputTokens = 100)
+        val work = DispatchWork.Generation(promptTokens = 2_000, expectedOutputTokens = 100)
         repeat(3) {
             val request = fixture.request(work, objective = 2.seconds)
             val explained = fixture.dispatcher.explain(request, fixture.now)
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/RejectionBackoffTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/RejectionBackoffTest.kt
@@ -37,7 +37,7 @@
         repeat(seconds * STEPS_PER_SECOND) { step ->
             val ended = runs.filter { it.endsAt <= step }
             runs -= ended
-            val work = DispatchWork.Generation(promptTokens = 3_000, outputTokens = 70)
+            val work = DispatchWork.Generation(promptTokens = 3_000, expectedOutputTokens = 70)
             val decisions = ended.flatMap { release(it.place, outcome = it.outcome) } + dispatcher.tick(now) +
                 submit(request(work, objective = 2.seconds, remaining = 10.seconds))
             decisions.granted().forEach { place ->
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/ServerPaceDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/ServerPaceDispatchTest.kt
@@ -266,8 +266,8 @@
         val load = PacedLoad(
             servers,
             engine,
-            work = { DispatchWork.Generation(promptTokens = 100, outputTokens = if (it % 4 == 0) 900 else 20) },
-        ) { (it.work as DispatchWork.Generation).outputTokens.milliseconds }
+            work = { DispatchWork.Generation(promptTokens = 100, expectedOutputTokens = if (it % 4 == 0) 900 else 20) },
+        ) { (it.work as DispatchWork.Generation).expectedOutputTokens.milliseconds }
         load.configure(servers.drop(1))
         load.run(10.seconds)
         expectThat(load.fixture.dispatcher.pacedServers).isEqualTo(0)
@@ -288,7 +288,7 @@
         val load = PacedLoad(
             servers,
             engine,
-            work = { DispatchWork.Generation(promptTokens = 650, outputTokens = 500) },
+            work = { DispatchWork.Generation(promptTokens = 650, expectedOutputTokens = 500) },
         ) { if (it.server == "a") 60.seconds else 500.milliseconds }
         load.configure(servers.drop(1))
         load.run(10.seconds)
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/ServerSpeedDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/ServerSpeedDispatchTest.kt
@@ -32,8 +32,8 @@
             .filter { it.at > 10.seconds && it.server != null }
             .partition { it.server?.value in setOf("d6", "d7") }
         expectThat(slow.size / 2.0).isLessThan(normal.size / 6.0 * 0.8)
-        expectThat(slow.map { it.work.outputTokens }.average())
-            .isLessThan(normal.map { it.work.outputTokens }.average())
+        expectThat(slow.map { it.work.expectedOutputTokens }.average())
+            .isLessThan(normal.map { it.work.expectedOutputTokens }.average())
     }
 
     private companion object {
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/SharedCapacityTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/SharedCapacityTest.kt
@@ -22,7 +22,7 @@
     private fun isRefusedBehindLateRequests(sharesCapacity: Boolean): Boolean {
         val fixture = DispatchFixture(servers, EngineProfile(slots = 2, memoryTokens = 7_000))
         fixture.dispatcher.shareCapacity(sharesCapacity)
-        val work = DispatchWork.Generation(promptTokens = 3_000, outputTokens = 70)
+        val work = DispatchWork.Generation(promptTokens = 3_000, expectedOutputTokens = 70)
         repeat(4) {
             fixture.submit(fixture.request(work, objective = 2.seconds, remaining = 14.seconds)).granted().forEach {
                 fixture.release(it, PlacePart.PREFILL)
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/VersionDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/VersionDispatchTest.kt
@@ -19,7 +19,7 @@
 
 class VersionDispatchTest {
     private val engine = EngineProfile(slots = 4, memoryTokens = 10_000)
-    private val generation = DispatchWork.Generation(promptTokens = 1_000, outputTokens = 100)
+    private val generation = DispatchWork.Generation(promptTokens = 1_000, expectedOutputTokens = 100)
 
     private fun decode(id: String, version: String) = server(id, ServerStage.DECODE, version = version)
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -61,6 +61,7 @@
 import org.arbutusnotch.forwarding.exchange.FrontHandler
 import org.arbutusnotch.forwarding.exchange.RelayedRequests
 import org.arbutusnotch.forwarding.exchange.ShutdownNotice
+import org.arbutusnotch.forwarding.exchange.ShutdownSchedule
 import org.arbutusnotch.forwarding.explain.ExplainHandler
 import org.arbutusnotch.forwarding.http.BufferedCall
 import org.arbutusnotch.forwarding.http.CallEnd
@@ -261,7 +262,10 @@
         random = random,
         metrics = metrics,
         answerBufferBudget = answerBufferBudget,
-        shutdownNotice = ShutdownNotice { membership.serving().any { it.address != self.address } },
+        shutdownNotice = ShutdownNotice(
+            hasServingPeer = { membership.serving().any { it.address != self.address } },
+            hasStartingPeer = { membership.reachablePeers().any { it.row.state == InstanceState.STARTING } },
+        ),
         relays = RelayedRequests { peer -> membership.serving().find { it.address == peer }?.row?.operatorAddress },
     )
     private val frontHandler = FrontHandler(context, ::routesInUse, configuration::decide)
@@ -623,11 +627,14 @@
         )
         membership.updateOwnRow(state = InstanceState.DRAINING)
         front.startDraining()
-        context.shutdownNotice.announce(
-            time = now + settings.shutdownTime - PROCESS_EXIT_TIME - FINAL_ANSWER_TIME,
-            now = now,
+        val schedule = ShutdownSchedule(
+            beganAt = now,
+            answerBy = now + settings.shutdownTime - PROCESS_EXIT_TIME - FINAL_ANSWER_TIME,
+            estimatesEndAt = now + ADDRESS_LIST_LIFETIME - SIGNAL_DELAY,
             listsExpireAt = now + ADDRESS_LIST_LIFETIME,
+            replacedBy = now + settings.shutdownTime,
         )
+        context.shutdownNotice.announce(schedule)
         log.info("stopping") {
             field("busy_connections", front.busyConnections)
             field("connections", front.openConnections)
@@ -649,7 +656,7 @@
         }
         // What still arrives before the process has exited is refused: its exit would cut the answer of a server.
         front.closeIdle()
-        context.shutdownNotice.announce(time = now, now = now)
+        context.shutdownNotice.schedule?.let { context.shutdownNotice.announce(it.copy(answerBy = now)) }
         ended.countDown()
     }
 
@@ -725,6 +732,9 @@
         /** Maximum time for which a caller uses an address list. */
         val ADDRESS_LIST_LIFETIME: Duration = 3.seconds
 
+        /** Longest time from a signal to the start of the shutdown, as on a machine that is short of processor time. */
+        val SIGNAL_DELAY = 500.milliseconds
+
         /** Share of the shutdown time after which idle connections are closed. */
         const val IDLE_CLOSE_SHARE = 0.6
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingProtocol.kt
@@ -6,6 +6,7 @@
  */
 package org.arbutusnotch.forwarding
 
+import org.arbutusnotch.core.forwarding.DeclaredLength
 import org.arbutusnotch.core.forwarding.ServerStage
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.ContentDigest
@@ -23,8 +24,7 @@
  *
  * @property remaining time that the caller waits; null when not declared
  * @property promptTokens number of tokens of the prompt; 0 for plain calls
- * @property maximumOutputTokens maximum number of tokens to generate
- * @property expectedOutputTokens number of tokens that the caller expects; null when not declared
+ * @property outputLength number of tokens to generate
  * @property sharedParts parts of the prompt that other requests may contain too, in order; without the last part, which
  * belongs to the request or to its session alone
  * @property resumedStream id of the request that brought the first event of the stream that this request takes up;
@@ -35,8 +35,7 @@
     public val id: RequestId,
     public val remaining: Duration?,
     public val promptTokens: Int,
-    public val maximumOutputTokens: Int,
-    public val expectedOutputTokens: Int?,
+    public val outputLength: DeclaredLength,
     public val sharedParts: List<PromptPartId> = emptyList(),
     public val resumedStream: RequestId? = null,
     public val resumeAfter: String? = null,
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchClient.kt
@@ -404,7 +404,7 @@
             is DispatchWork.Call -> 0
 
             is DispatchWork.Generation ->
-                if (part == PlacePart.PREFILL) work.promptTokens else work.promptTokens + work.outputTokens
+                if (part == PlacePart.PREFILL) work.promptTokens else work.promptTokens + work.expectedOutputTokens
         }
     }
 
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/Exchange.kt
@@ -38,6 +38,7 @@
 import org.arbutusnotch.forwarding.http.ServerCallListener
 import org.arbutusnotch.forwarding.http.socketAddress
 import org.arbutusnotch.forwarding.quarantine.ClosedRun
+import org.arbutusnotch.telemetry.EventFields
 import org.arbutusnotch.telemetry.EventLog
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -78,6 +79,7 @@
     protected var deadlineAt: Timestamp =
         receivedAt + minOf(request.caller.remaining ?: request.route.timeLimit, request.route.timeLimit)
         private set
+    private val callerDeadlineAt: Timestamp = deadlineAt
     protected val objectiveAt: Timestamp = receivedAt + request.route.objective
 
     /** Time without progress after which the caller disconnects. */
@@ -91,7 +93,10 @@
     private var placeRequestNumber = 0
     private var placeRequested = false
     private var cancelDeadline: () -> Unit = {}
-    private var cancelLatestStart: () -> Unit = {}
+    private var cancelStartCheck: () -> Unit = {}
+
+    /** Latest prediction by which a shutdown let the request run; null before a shutdown. */
+    private var shutdownPrediction: DurationPrediction? = null
     private var stopObservingShutdown: () -> Unit = {}
     private var stopObservingQuarantine: () -> Unit = {}
 
@@ -131,7 +136,7 @@
         if (request.relayed) context.relays.recordStart()
         cancelDeadline = context.schedule(deadlineAt) { if (!finished) onDeadline() }
         stopObservingQuarantine = context.crashReporter.onQuarantine { refuseWaitingIfQuarantined() }
-        stopObservingShutdown = context.shutdownNotice.observe { onShutdown(answerBy = it) }
+        stopObservingShutdown = context.shutdownNotice.observe { onShutdown(it) }
         if (finished) stopObservingShutdown() else admission.request(::beginIfOpen, ::refuseExceeded)
     }
 
@@ -145,45 +150,77 @@
     /** Starts the first attempt. */
     protected open fun begin(): Unit = requestPlace(countsAsRetry = false)
 
+    /** Ends the request before the end of the shutdown at the latest, or refuses it at once. */
+    private fun onShutdown(schedule: ShutdownSchedule) {
+        if (finished || deadlineAt <= schedule.answerBy) return
+        deadlineAt = schedule.answerBy
+        cancelDeadline()
+        cancelDeadline = context.schedule(deadlineAt) { if (!finished) onDeadline() }
+        refuseIfTooLate()
+    }
+
     /**
-     * Ends the request at [answerBy] at the latest. If no server has it when it could no longer end by then, it is
-     * refused, so that its caller can turn to another instance at once.
+     * Refuses the request if no server has it when it could no longer end before the shutdown does, so that its caller
+     * can turn to another instance at once. Checks again at the latest time at which it must be sent, and at the time
+     * from which an estimate of its length no longer counts.
      */
-    private fun onShutdown(answerBy: Timestamp) {
-        val deadline = deadlineAt
-        if (finished || deadline <= answerBy) return
-        deadlineAt = answerBy
-        cancelDeadline()
-        cancelDeadline = context.schedule(answerBy) { if (!finished) onDeadline() }
-        val duration = expectedDuration() ?: deadline - context.now()
-        val latestStart = answerBy - duration
-        log.info("request_shortened") {
-            field("request", request.caller.id)
-            field("expected_millis", duration.inWholeMilliseconds)
-            field("left_millis", (answerBy - context.now()).inWholeMilliseconds)
-            field("may_have_run", mayHaveRun)
-        }
-        if (context.now() >= latestStart) {
-            refuseUnlessSent()
-        } else {
-            cancelLatestStart = context.schedule(latestStart) { refuseUnlessSent() }
+    private fun refuseIfTooLate() {
+        if (finished || deadlineAt >= callerDeadlineAt) return
+        cancelStartCheck()
+        // The prediction that let a request run is kept for the logs.
+        if (mayHaveRun && shutdownPrediction != null) return
+        val now = context.now()
+        val prediction = predictDuration()
+        if (prediction.basis != shutdownPrediction?.basis) logShortened(prediction, now)
+        shutdownPrediction = prediction
+        val latestStart = deadlineAt - (prediction.duration ?: (callerDeadlineAt - now))
+        when {
+            mayHaveRun -> Unit
+
+            now >= latestStart -> {
+                stopAttempt()
+                refuse("shutting_down", context.shutdownNotice.retryAfter(now))
+            }
+
+            else -> {
+                val estimatesEndAt = context.shutdownNotice.schedule?.estimatesEndAt?.takeIf { it > now }
+                val checkAt = minOf(latestStart, estimatesEndAt ?: latestStart)
+                cancelStartCheck = context.schedule(checkAt) { refuseIfTooLate() }
+            }
         }
     }
 
-    /** Returns how long the request may take from its arrival to its final answer; null when that is not known. */
-    protected open fun expectedDuration(): Duration? = context.routeDurations.expected(request.route)
+    private fun logShortened(prediction: DurationPrediction, now: Timestamp) = log.info("request_shortened") {
+        field("request", request.caller.id)
+        describe(prediction)
+        field("left_millis", (deadlineAt - now).inWholeMilliseconds)
+        field("may_have_run", mayHaveRun)
+    }
 
-    private fun refuseUnlessSent() {
-        if (finished || mayHaveRun) return
-        stopAttempt()
-        refuse("shutting_down", retryAfter = Duration.ZERO)
+    /** Adds what the shutdown expected of the request by [prediction], and what its declared maximum says. */
+    private fun EventFields.describe(prediction: DurationPrediction) {
+        field("predicted_by", prediction.basis)
+        prediction.duration?.let { field("expected_millis", it.inWholeMilliseconds) }
+        longestDuration?.let { field("longest_millis", it.inWholeMilliseconds) }
+        field("expected_tokens", request.caller.outputLength.expected)
+        field("maximum_tokens", request.caller.outputLength.maximum)
     }
 
+    /** Predicts the time from sending the request to its final answer. */
+    protected open fun predictDuration(): DurationPrediction =
+        DurationPrediction.ByRoute(context.routeDurations.expected(request.route))
+
+    /** Longest time that the request can take by its declared maximum; null when that is not known. */
+    protected open val longestDuration: Duration? = null
+
     /**
      * Requests a place; [countsAsRetry] tells whether a server received the request under its last place. A quarantined
      * request gets no place.
      */
     protected fun requestPlace(countsAsRetry: Boolean) {
+        // A server that rejected the request may have kept it beyond the latest time at which it must be sent.
+        refuseIfTooLate()
+        if (finished) return
         val remainingQuarantine = context.crashReporter.remainingQuarantine(request.suspects)
         if (remainingQuarantine != null) {
             onPlaceRefused(QUARANTINED, remainingQuarantine)
@@ -439,7 +476,8 @@
             field("reason", reason)
             field("received_millis", (now - receivedAt).inWholeMilliseconds)
             latestProgressAt?.let { field("progress_millis", (now - it).inWholeMilliseconds) }
-            context.shutdownNotice.beganAt?.let { field("stopping_millis", (now - it).inWholeMilliseconds) }
+            context.shutdownNotice.schedule?.let { field("stopping_millis", (now - it.beganAt).inWholeMilliseconds) }
+            shutdownPrediction?.let { describe(it) }
             field("running", runningAt.joinToString(","))
             field("left_millis", (deadlineAt - now).inWholeMilliseconds)
         }
@@ -487,7 +525,7 @@
         if (finished) return
         finished = true
         cancelDeadline()
-        cancelLatestStart()
+        cancelStartCheck()
         stopObservingQuarantine()
         stopObservingShutdown()
         bodies.forEach { it.discard() }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/FrontHandler.kt
@@ -87,7 +87,8 @@
             if (caller.sharedParts.isNotEmpty()) field("shared_parts", caller.sharedParts.joinToString(","))
             caller.resumedStream?.let { field("resumed_stream", it) }
             caller.resumeAfter?.let { field("resume_after", it) }
-            field("output_tokens", caller.expectedOutputTokens ?: caller.maximumOutputTokens)
+            field("expected_tokens", caller.outputLength.expected)
+            field("maximum_tokens", caller.outputLength.maximum)
         }
         val exchange = when (route.kind) {
             is RouteKind.Generation -> GenerationExchange(context, routed, responder)
@@ -115,8 +116,7 @@
     private fun workOf(route: Route, caller: CallerRequest): DispatchWork = when (route.kind) {
         is RouteKind.Generation -> DispatchWork.Generation(
             promptTokens = caller.promptTokens,
-            outputTokens = caller.expectedOutputTokens?.coerceAtMost(caller.maximumOutputTokens)
-                ?: caller.maximumOutputTokens,
+            expectedOutputTokens = caller.outputLength.expected,
         )
 
         RouteKind.IdempotentCall, RouteKind.NonIdempotentCall -> DispatchWork.Call
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -16,6 +16,7 @@
 import io.netty.buffer.ByteBuf
 import org.arbutusnotch.core.forwarding.BackendServer
 import org.arbutusnotch.core.forwarding.BufferedAnswer
+import org.arbutusnotch.core.forwarding.GenerationObservation
 import org.arbutusnotch.core.forwarding.StreamProgress
 import org.arbutusnotch.core.id.BackendServerId
 import org.arbutusnotch.core.id.PoolId
@@ -138,24 +139,44 @@
             stalledRun?.place?.server?.id,
         )
 
-    /** Number of tokens that the request declares; 0 when it declares none. */
-    private val outputTokens: Int = (request.work as? DispatchWork.Generation)?.outputTokens ?: 0
+    override val longestDuration: Duration?
+        get() = context.generationDurations.longest(
+            pool = pool,
+            promptTokens = request.caller.promptTokens,
+            length = request.caller.outputLength,
+            objective = request.route.objective,
+        )
 
     /**
-     * Returns null also late in a shutdown while another instance serves: a stream that pauses, or is longer than its
-     * caller estimates, would be cut here.
+     * A stream that is longer than its caller estimates would be cut, so an estimate counts only early in a shutdown,
+     * while callers come that hold a valid address list. Late in a shutdown a stream could be cut even though its
+     * maximum fits, since its server may pause; there another instance runs it if one serves.
      */
-    override fun expectedDuration(): Duration? = if (context.shutdownNotice.isReplaced(context.now())) {
-        null
-    } else {
-        context.generationDurations.expected(pool, outputTokens, request.route.objective)
+    override fun predictDuration(): DurationPrediction {
+        val now = context.now()
+        val longest = longestDuration
+        val expected = context.generationDurations.expected(pool, request.caller.outputLength, request.route.objective)
+            .takeIf { context.shutdownNotice.acceptsEstimates(now) }
+        return when {
+            context.shutdownNotice.isReplaced(now) -> DurationPrediction.Replaced
+            expected != null && (longest == null || expected < longest) -> DurationPrediction.ByEstimate(expected)
+            longest != null -> DurationPrediction.ByMaximum(longest)
+            else -> DurationPrediction.Unknown
+        }
     }
 
     /** The rest of a stream that was taken up says little about whole ones. */
     override fun recordDuration(elapsed: Duration) {
         val firstEvent = firstEventAt ?: return
         if (request.caller.resumeAfter != null) return
-        context.generationDurations.record(pool, outputTokens, firstEvent - receivedAt, elapsed)
+        val observation = GenerationObservation(
+            promptTokens = request.caller.promptTokens,
+            length = request.caller.outputLength,
+            events = relay.relayedEventCount,
+            firstEventAfter = firstEvent - receivedAt,
+            elapsed = elapsed,
+        )
+        context.generationDurations.record(pool, observation)
     }
 
     override fun releaseUnused(place: GrantedPlace) = release(place, PlaceOutcome.UNUSED)
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/QuotaAdmission.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/QuotaAdmission.kt
@@ -65,7 +65,7 @@
         /** Returns the units that a request of [workspace] takes. */
         fun cost(workspace: Workspace, caller: CallerRequest): Long {
             if (!workspace.countsTokens) return 1
-            val declared = caller.promptTokens.toLong() + caller.maximumOutputTokens
+            val declared = caller.promptTokens.toLong() + caller.outputLength.maximum
             return if (declared > 0) declared else workspace.plainRequestTokens.toLong()
         }
     }
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LateRequestTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/LateRequestTest.kt
@@ -5,6 +5,7 @@
 
 import org.arbutusnotch.core.forwarding.ServerStage
 import org.arbutusnotch.forwarding.exchange.RelayedRequests
+import org.arbutusnotch.forwarding.fixture.AnswerWriter
 import org.arbutusnotch.forwarding.fixture.InstanceFixture
 import org.arbutusnotch.forwarding.fixture.PausableClock
 import org.arbutusnotch.forwarding.fixture.RawCaller
@@ -19,15 +20,18 @@
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.doesNotContain
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotEmpty
 import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
 import java.net.ConnectException
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -171,16 +175,18 @@
         expectThat(statuses.filterKeys { it in sent }.values).all { isEqualTo(200) }
     }
 
-    /** A stream of one event for each declared token, and its end. */
-    private val engine = ScriptedServer {
-        val tokens = request.header("tokens").orEmpty().substringAfter(',').toInt()
+    /** A stream with as many events as the request names, by default one for each declared token, and its end. */
+    private val engine = ScriptedServer { stream() }.also { resources += it }
+
+    private fun AnswerWriter.stream() {
+        val tokens = request.header("events") ?: request.header("tokens").orEmpty().substringAfter(',')
         streamHead()
-        (1..tokens).forEach {
+        (1..tokens.toInt()).forEach {
             Thread.sleep(EVENT_MILLIS)
             event(it)
         }
         endOfStream()
-    }.also { resources += it }
+    }
 
     private fun engineInstance(shutdownTime: Duration = 4.seconds) = InstanceFixture(
         testRoutes(timeLimit = 30.seconds),
@@ -188,8 +194,8 @@
         shutdownTime = shutdownTime,
     ).also { resources += it }
 
-    private fun InstanceFixture.stream(id: String, tokens: Int, route: String) =
-        call("/$route/x", id, headers = "tokens: 10,$tokens\r\n")
+    private fun InstanceFixture.stream(id: String, tokens: Int, route: String, prompt: Int = SHORT_PROMPT) =
+        call("/$route/x", id, headers = "tokens: $prompt,$tokens\r\n")
 
     /** Stops the instance and sends it a stream of [tokens] events a moment later. */
     private fun InstanceFixture.streamDuringShutdown(tokens: Int, route: String = "stream"): ReceivedResponse? {
@@ -199,8 +205,10 @@
     }
 
     /** Has the instance answer as many streams of [tokens] events as it needs to predict others. */
-    private fun InstanceFixture.observeStreams(tokens: Int, route: String) {
-        val answers = (1..OBSERVED_STREAMS).map { CompletableFuture.supplyAsync { stream("first-$it", tokens, route) } }
+    private fun InstanceFixture.observeStreams(tokens: Int, route: String, prompt: Int = SHORT_PROMPT) {
+        val answers = (1..OBSERVED_STREAMS).map {
+            CompletableFuture.supplyAsync { stream("first-$it", tokens, route, prompt) }
+        }
         expectThat(answers.map { it.get()?.complete }).all { isEqualTo(true) }
     }
 
@@ -264,6 +272,98 @@
         expectThat(running.get()?.complete).isEqualTo(true)
     }
 
+    /** Declares at most [maximum] tokens, of which the caller expects [estimate]; the engine sends [events] of them. */
+    private fun InstanceFixture.streamAsync(id: String, maximum: Int, estimate: Int?, events: Int, route: String) =
+        CompletableFuture.supplyAsync {
+            val estimated = estimate?.let { "estimate: $it\r\n" }.orEmpty()
+            call("/$route/x", id, headers = "tokens: 10,$maximum\r\n${estimated}events: $events\r\n")
+        }
+
+    /** Stops an instance that has answered streams with right estimates, and which no other instance replaces. */
+    private fun stoppedAlone(): InstanceFixture {
+        val fixture = engineInstance(shutdownTime = LONG_SHUTDOWN)
+        fixture.observeStreams(SHORT_STREAM, "stream")
+        // A running stream keeps the instance from ending before its grace time has passed.
+        fixture.streamAsync("running", LONGEST_STREAM, LONGEST_STREAM, LONGEST_STREAM, "stream")
+        awaitUntil("the engine has the stream") { engine.requests.any { it.header("id") == "running" } }
+        fixture.instance.stop()
+        return fixture
+    }
+
+    /** Guards against late streams that are longer than their callers estimate, and are cut (review case 7). */
+    @ParameterizedTest
+    @ValueSource(strings = ["stream", "resumable"])
+    fun `stream whose maximum does not end in time is refused late in a shutdown`(route: String) {
+        val fixture = stoppedAlone()
+        Thread.sleep(LATE_IN_SHUTDOWN_MILLIS)
+        val answer = fixture.streamAsync("late", VERY_LONG_STREAM, SHORT_STREAM, LONGEST_STREAM, route).get()
+        expectThat(answer?.status).isEqualTo(503)
+        expectThat(answer?.header("X-Outcome")).isEqualTo("not_run")
+        expectThat(answer?.header("Retry-After")?.toDouble()).isNotNull().isGreaterThan(LEFT_AT_LEAST_SECONDS)
+        expectThat(engine.requests.mapNotNull { it.header("id") }).doesNotContain("late")
+    }
+
+    /** Guards against a stopping instance that refuses all late streams, also those whose maximum ends in time. */
+    @ParameterizedTest
+    @ValueSource(ints = [SHORT_STREAM, MEDIUM_STREAM])
+    fun `stream whose maximum ends in time is served late in a shutdown`(events: Int) {
+        val fixture = stoppedAlone()
+        Thread.sleep(LATE_IN_SHUTDOWN_MILLIS)
+        val answers = listOf(SHORT_STREAM, MEDIUM_STREAM, null).mapIndexed { index, estimate ->
+            fixture.streamAsync("late-$index", MEDIUM_STREAM, estimate, events, "stream")
+        }
+        expectThat(answers.map { it.get()?.complete }).all { isEqualTo(true) }
+        expectThat(answers.map { it.get()?.status }).all { isEqualTo(200) }
+    }
+
+    /** Guards against a stream whose prompt is still read when its estimate counts no more, and which is cut. */
+    @Test
+    fun `stream that no server runs yet is refused once estimates no longer count`() {
+        val prefill = ScriptedServer {
+            if (request.header("id") == "waiting") Thread.sleep(SLOW_PREFILL_MILLIS)
+            answer(body = "handle-1")
+        }.also { resources += it }
+        val servers = listOf(
+            testServer("d", engine.address, ServerStage.DECODE),
+            testServer("p", prefill.address, ServerStage.PREFILL),
+        )
+        val fixture = InstanceFixture(testRoutes(timeLimit = 30.seconds), servers, shutdownTime = LONG_SHUTDOWN)
+            .also { resources += it }
+        fixture.observeStreams(SHORT_STREAM, "stream", LONG_PROMPT)
+        fixture.instance.stop()
+        Thread.sleep(BEFORE_IDLE_CLOSE_MILLIS)
+        val declared = "tokens: $LONG_PROMPT,$VERY_LONG_STREAM\r\nestimate: $SHORT_STREAM\r\n"
+        val waiting = fixture.call("/stream/x", "waiting", headers = "${declared}events: $LONGEST_STREAM\r\n")
+        expectThat(prefill.requests.mapNotNull { it.header("id") }).contains("waiting")
+        expectThat(waiting?.status).isEqualTo(503)
+        expectThat(waiting?.header("X-Refusal-Reason")).isEqualTo("shutting_down")
+        expectThat(engine.requests.mapNotNull { it.header("id") }).doesNotContain("waiting")
+    }
+
+    /** Guards against a stream that a server keeps for a while and rejects, and that is cut at the next one. */
+    @Test
+    fun `stream that was rejected too late is refused in a shutdown`() {
+        val rejected = AtomicBoolean()
+        val engines = List(2) {
+            ScriptedServer {
+                if (request.header("id") == "late" && !rejected.getAndSet(true)) {
+                    Thread.sleep(REJECTION_MILLIS)
+                    answer(status = "503 Full", headers = "not-run: 1\r\n")
+                } else {
+                    stream()
+                }
+            }.also { resources += it }
+        }
+        val servers =
+            engines.mapIndexed { index, server -> testServer("d$index", server.address, ServerStage.DECODE) }
+        val fixture = InstanceFixture(testRoutes(timeLimit = 30.seconds), servers).also { resources += it }
+        fixture.observeStreams(SHORT_STREAM, "stream")
+        fixture.instance.stop()
+        val answer = fixture.streamAsync("late", MEDIUM_STREAM, MEDIUM_STREAM, MEDIUM_STREAM, "stream").get()
+        expectThat(answer?.status).isEqualTo(503)
+        expectThat(engines.sumOf { engine -> engine.requests.count { it.header("id") == "late" } }).isEqualTo(1)
+    }
+
     private fun InstanceFixture.addressList() = get(directoryAddress, "/where")?.body.orEmpty()
 
     private companion object {
@@ -275,6 +375,9 @@
         const val BEFORE_IDLE_CLOSE_MILLIS = 2_000L
         const val STANDSTILL_MILLIS = 500L
 
+        /** Time after which a server rejects a stream, which may still wait for another place. */
+        const val REJECTION_MILLIS = 1_100L
+
         /** Time after SIGTERM at which idle connections have been closed, but the instance still runs. */
         const val IDLE_CLOSED_MILLIS = 2_700L
 
@@ -297,6 +400,19 @@
         const val LONG_STREAM = 30
         const val LONGEST_STREAM = 60
 
+        /** Number of events that end in time late in a long grace time, and one that does not. */
+        const val MEDIUM_STREAM = 20
+        const val VERY_LONG_STREAM = 170
+
+        /** Time after the signal at which address lists have expired, and seconds that are then left at least. */
+        const val LATE_IN_SHUTDOWN_MILLIS = 3_200L
+        const val LEFT_AT_LEAST_SECONDS = 3.0
+
+        /** Prompts, and time to read the long one that the instance allows and that ends after estimates count. */
+        const val SHORT_PROMPT = 10
+        const val LONG_PROMPT = 4_000
+        const val SLOW_PREFILL_MILLIS = 800L
+
         /** Time after an early stream at which no caller holds an address list with the instance. */
         const val LISTS_EXPIRED_MILLIS = 2_200L
         const val LATE_STREAM_MILLIS = 600L
