Keep large unreadable entries of servers without their values

Cause: the value of each item below the prefix was kept, also of those that describe no server, and nothing bounds their number.

Change: an unreadable entry of more than 4 KiB is kept without its value, as soon as its page or change is read. The reader of the history keeps servers in place of items.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/PublishedState.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/PublishedState.kt
@@ -62,6 +62,12 @@
             is StoreChange.Removed -> removeServer(change)
         }
 
+        /** Another writer may leave entries of any size and number, which together exceed the memory. */
+        override fun retained(item: StoreItem): StoreItem {
+            val isKept = item.value.size <= MAXIMUM_UNREADABLE_BYTES || readServer(item) != null
+            return if (isKept) item else StoreItem(item.key, item.revision, ByteArray(0), item.created)
+        }
+
         override fun onStoreFailure(since: Timestamp) = registry.recordOutage(clock.now(), since)
 
         override fun onStoreRecovery() = registry.recordRecovery(clock.now())
@@ -147,6 +153,12 @@
         /** Number of remembered keys of unreadable entries; further entries are not logged. */
         const val MAXIMUM_REPORTED_KEYS = 1_000
 
+        /**
+         * Size in bytes of an entry that is kept although it cannot be read, since an instance of another version may
+         * read it: several times that of a server's entry.
+         */
+        const val MAXIMUM_UNREADABLE_BYTES = 4_096
+
         /** Time by which the clock of a server may be ahead: clocks of machines differ by seconds, not by days. */
         val MAXIMUM_CLOCK_DIFFERENCE = 1.days
     }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -38,6 +38,9 @@
     /** One item changed. */
     fun onChanged(change: StoreChange)
 
+    /** Returns [item] as it is kept in memory and passed on to peers: without its value if that is of no use. */
+    fun retained(item: StoreItem): StoreItem = item
+
     /** A call to the store failed, which may have been unavailable since [since]. */
     fun onStoreFailure(since: Timestamp)
 
@@ -122,7 +125,7 @@
             field("previous_revision", position?.revision)
             field("items", peerItems.size)
         }
-        replace(peerItems, peerPosition)
+        replace(peerItems.map { listener.retained(it) }, peerPosition)
     }
 
     /**
@@ -168,7 +171,7 @@
         // Changes made while the pages are read are watched, so the position is that of the first page.
         val start = listingPosition ?: StorePosition(era, page.storeRevision).also { listingPosition = it }
         if (start.era != era) return retryAfterFailure("store restored during a listing")
-        listing += page.items
+        page.items.mapTo(listing) { listener.retained(it) }
         val last = page.items.lastOrNull()?.key
         if (page.hasMore && last != null) {
             if (after != null && last <= after) return retryAfterFailure("listing does not advance")
@@ -231,7 +234,7 @@
         recordSuccess()
         // Revisions of a later era do not continue those of the position that was watched.
         if (era != from.era || items.needsListing) return resumeLater()
-        changes.changes.forEach { if (items.apply(it)) listener.onChanged(it) }
+        changes.changes.map { retained(it) }.forEach { if (items.apply(it)) listener.onChanged(it) }
         val pause = if (changes.changes.isEmpty()) Duration.ZERO else spacing.recordAnswer(clock.now())
         val advanced = items.advanceTo(StorePosition(era, changes.storeRevision))
         val isFruitful = advanced || clock.now() >= begunAt + MINIMUM_WATCH_DURATION
@@ -243,6 +246,11 @@
         if (isFruitful || asksOnce) proceedAfter(pause) else resumeLater()
     }
 
+    private fun retained(change: StoreChange): StoreChange = when (change) {
+        is StoreChange.Written -> StoreChange.Written(listener.retained(change.item))
+        is StoreChange.Removed -> change
+    }
+
     private fun proceedAfter(pause: Duration) = if (pause > Duration.ZERO) resumeAfter(pause) else proceed()
 
     private fun call(
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreHistoryReader.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreHistoryReader.kt
@@ -84,7 +84,7 @@
         changes.filterIsInstance<StoreChange.Written>().mapNotNull { readServer(it.item) }
 
     private inner class Search(private val onResult: (PublishedHistory?) -> Unit) {
-        private val listing = mutableListOf<StoreItem>()
+        private val listing = mutableListOf<ListedServer>()
         private var listedAt = 0L
 
         /** The history is known to begin at or after the first of these revisions, and to reach back to the second. */
@@ -96,7 +96,7 @@
             val page = response.takeIf { it.head.status == OK }?.let { protocol.readPage(it.body) }
             if (page == null) return@call fail("status ${response.head.status}")
             if (after == null) listedAt = page.storeRevision
-            listing += page.items
+            listing += page.items.mapNotNull { item -> readServer(item)?.let { ListedServer(it, item.created) } }
             val last = page.items.lastOrNull()?.key
             if (page.hasMore && last != null && last != after) return@call list(last)
             reached = listedAt
@@ -138,8 +138,7 @@
             }
             val written = writtenServers(changes)
             val removed = changes.filterIsInstance<StoreChange.Removed>().map { items.serverId(it.key) }
-            val listed = listing.mapNotNull { item -> readServer(item)?.let { ListedServer(it, item.created) } }
-            onResult(PublishedHistory(listed, firstRevision = reached, written, removed.toSet()))
+            onResult(PublishedHistory(listing, firstRevision = reached, written, removed.toSet()))
         }
     }
 
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/OddEntryTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/OddEntryTest.kt
@@ -3,6 +3,7 @@
  */
 package org.arbutusnotch.forwarding.registry
 
+import org.arbutusnotch.forwarding.entry.ControlHandler
 import org.arbutusnotch.forwarding.fixture.InstanceFixture
 import org.arbutusnotch.forwarding.fixture.ScriptedServer
 import org.arbutusnotch.forwarding.fixture.StandInStore
@@ -14,6 +15,8 @@
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
 import java.util.concurrent.atomic.AtomicInteger
 
 class OddEntryTest {
@@ -68,7 +71,20 @@
         repeat(3) { expectThat(instance.status()).isEqualTo(200) }
     }
 
+    /** Guards against processes that end because unreadable entries exceed their memory (review case 2). */
+    @Test
+    fun `unreadable entries are kept without their values`() {
+        val instance = instance()
+        store.putLarge("servers/other-", LARGE_ENTRIES, LARGE_BYTES)
+        registerServer("sound")
+        awaitUntil("the server is used") { instance.status() == 200 }
+        val snapshot = instance.get(instance.controlAddress, ControlHandler.SNAPSHOT_PATH)
+        expectThat(snapshot?.body?.length).isNotNull().isLessThan(LARGE_BYTES)
+    }
+
     private companion object {
+        const val LARGE_ENTRIES = 20
+        const val LARGE_BYTES = 200_000
         const val READ_MILLIS = 400L
     }
 }
