List after changes of the store that are too large together

Cause: a watch whose response exceeded 4 MiB was repeated unchanged, in vain, until the store had dropped its history.

Change: it is followed by a listing, whose pages are small. The store does not count as failing meanwhile.

The new case of StoreFollowerTest failed without it.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/BufferedCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/BufferedCall.kt
@@ -32,7 +32,7 @@
     private val onResult: (Result<HttpResponseMessage, CallEnd>) -> Unit,
 ) : ServerCallListener {
     private val call = ServerCall(request, connectTimeout, memory, this)
-    private val body = BufferedBody(maximumBytes, memory) { abort(it) }
+    private val body = BufferedBody(maximumBytes, memory) { abort(it, exceedsMemory = true) }
     private var head: ResponseHead? = null
     private var finished = false
 
@@ -54,10 +54,10 @@
         call.cancel()
     }
 
-    private fun abort(detail: String) {
+    private fun abort(detail: String, exceedsMemory: Boolean = false) {
         if (finished) return
         call.cancel()
-        finish(Err(CallEnd.Broken(detail)))
+        finish(Err(CallEnd.Broken(detail, exceedsMemory = exceedsMemory)))
     }
 
     private fun finish(result: Result<HttpResponseMessage, CallEnd>) {
@@ -86,7 +86,10 @@
     }
 
     private companion object {
-        /** Largest response of the store, with room for values of the largest size in their encoded form. */
+        /**
+         * Largest response of the store or of an instance: a page of a listing, with room for a value of the largest
+         * size in its encoded form. Changes that are larger together are listed instead.
+         */
         const val DEFAULT_MAXIMUM_BYTES = 4 * 1_024 * 1_024
     }
 }
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/http/ServerCall.kt
@@ -61,8 +61,10 @@
      * The server may have received the request, and the response is missing or incomplete.
      *
      * @property closedByServer whether the server closed or reset the connection, as it does when its process ends
+     * @property exceedsMemory whether the response was given up because it is too large to be buffered
      */
-    data class Broken(val detail: String, val closedByServer: Boolean = false) : CallEnd()
+    data class Broken(val detail: String, val closedByServer: Boolean = false, val exceedsMemory: Boolean = false) :
+        CallEnd()
 }
 
 /** Receives the parts of a response, on the event loop. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -263,9 +263,13 @@
         val startedAt = clock.now()
         val call = BufferedCall(request, CONNECT_TIMEOUT, timeout, memory) { result ->
             if (ownStep == step) {
+                val wasWatching = isWatching
                 isWatching = false
                 continueAfterFailure {
-                    result.fold(success = { onResponse(it, onSuccess) }, failure = { onFailure(it, startedAt) })
+                    result.fold(
+                        success = { onResponse(it, onSuccess) },
+                        failure = { onFailure(it, startedAt, wasWatching) },
+                    )
                 }
             }
         }
@@ -327,14 +331,31 @@
         }
     }
 
-    private fun onFailure(end: CallEnd, startedAt: Timestamp) = when (end) {
+    /**
+     * Lists after changes that are too large together, which the store would send again as long as it keeps its
+     * history. The pages of a listing are small, and a listing has each item once.
+     */
+    private fun listInstead(end: CallEnd) {
+        log.info("changes_too_large") {
+            field("prefix", prefix)
+            field("revision", position?.revision)
+            field("detail", end)
+        }
+        historyLost = true
+        resumeLater()
+    }
+
+    private fun onFailure(end: CallEnd, startedAt: Timestamp, wasWatching: Boolean) = when (end) {
         is CallEnd.Complete, CallEnd.Withheld -> Unit
 
         is CallEnd.NotSent -> retryAfterFailure(end.detail, since = startedAt)
 
         // A store that closes the connection was there until now; one that is silent may have been away all the time.
-        is CallEnd.Broken ->
+        is CallEnd.Broken -> if (wasWatching && end.exceedsMemory) {
+            listInstead(end)
+        } else {
             retryAfterFailure(end.detail, since = if (end.closedByServer) clock.now() else startedAt)
+        }
     }
 
     private fun retryAfterFailure(detail: String, since: Timestamp = clock.now()) {
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/RecordingListener.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/RecordingListener.kt
@@ -14,7 +14,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 
-/** Records whether a follower has listed the store. */
+/** Records whether a follower has listed the store, and how many of its calls failed. */
 internal class RecordingListener : StoreListener {
     @Volatile
     var replaced = false
@@ -25,7 +25,14 @@
 
     override fun onChanged(change: StoreChange) = Unit
 
-    override fun onStoreFailure(since: Timestamp) = Unit
+    /** Number of calls that failed. */
+    @Volatile
+    var failures = 0
+        private set
+
+    override fun onStoreFailure(since: Timestamp) {
+        failures += 1
+    }
 
     override fun onStoreRecovery() = Unit
 }
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreFollowerTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/StoreFollowerTest.kt
@@ -63,7 +63,30 @@
         group.shutdownGracefully()
     }
 
+    /** Guards against changes that are too large together, and hide all later ones (review cases 8 and 9). */
+    @Test
+    fun `changes that are too large together are listed`() {
+        val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+        StandInStore().use { store ->
+            val listener = RecordingListener()
+            val follower = testFollower(store, group, listener)
+            follower.start()
+            awaitUntil("a watch waits") { store.waitingWatches > 0 }
+            store.putLarge("servers/other-", LARGE_ENTRIES, LARGE_BYTES)
+            store.put("servers/later", "server")
+            awaitUntil("the later item is known") {
+                group.submit<Boolean> { follower.snapshot().any { it.key == "servers/later" } }.get()
+            }
+            expectThat(listener.failures).isEqualTo(0)
+        }
+        group.shutdownGracefully()
+    }
+
     private companion object {
+        /** Entries that are larger together than the memory of a test follower, which takes each of them. */
+        const val LARGE_ENTRIES = 6
+        const val LARGE_BYTES = 300_000
+
         /** Time after which the pause between two failing calls is at its longest. */
         const val FAILING_MILLIS = 1_500L
     }
