--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingMetrics.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingMetrics.kt
@@ -21,8 +21,9 @@
     /** Counts a request that ended with [outcome] for [reason] after [elapsed]. */
     @Suppress("SpreadOperator") // Micrometer accepts the bounds only as varargs, and each timer is built once.
     fun recordRequest(outcome: String, reason: String, elapsed: Duration) {
-        counters.getOrPut(outcome to reason) {
-            Counter.builder("arbutusnotch_requests").tag("outcome", outcome).tag("reason", reason).register(registry)
+        val label = if (REASON_CODE.matches(reason)) reason else OTHER_REASONS
+        counters.getOrPut(outcome to label) {
+            Counter.builder("arbutusnotch_requests").tag("outcome", outcome).tag("reason", label).register(registry)
         }.increment()
         timers.getOrPut(outcome) {
             Timer.builder("arbutusnotch_request_seconds").tag("outcome", outcome)
@@ -84,6 +85,13 @@
         /** Name of the counters of all others. */
         const val OTHER_WORKSPACES = "(others)"
 
+        /**
+         * Reasons with counters of their own: those that this instance names, and statuses. The text of a failure may
+         * quote an answer, so that each would have a counter that is kept until the process ends.
+         */
+        val REASON_CODE = Regex("([a-z]+(_[a-z]+)*|[0-9]{3})?")
+        const val OTHER_REASONS = "(others)"
+
         /** Upper bounds of the latency histogram. */
         val LATENCY_BOUNDS = listOf(25L, 50L, 100L, 200L, 400L, 800L, 1_600L, 3_200L, 6_400L, 12_800L)
             .map { java.time.Duration.ofMillis(it) }.toTypedArray()
