Let two instances call the store each second

Cause: a call that waits on a silent connection looks like a store without changes until it should have ended, after a second for each instance, 20 s at most. Peers tell the two apart only if one of them hears of the change.

Two instances, in two failure domains if there are several, now let each call wait for a second only. They notice the silence within 1.8 s, and gossip leads the others to what they have heard. An instance that takes the role over replaces the call that already waits.

Price: at most four more calls to the store a second, whatever the size of the fleet.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -24,7 +24,6 @@
 import org.arbutusnotch.core.forwarding.ServerRegistry
 import org.arbutusnotch.core.forwarding.StartupRoutes
 import org.arbutusnotch.core.forwarding.StorePosition
-import org.arbutusnotch.core.forwarding.WatchTime
 import org.arbutusnotch.core.id.ContentDigest
 import org.arbutusnotch.core.id.Incarnation
 import org.arbutusnotch.core.id.InstanceAddress
@@ -87,6 +86,7 @@
 import org.arbutusnotch.forwarding.registry.StoreListener
 import org.arbutusnotch.forwarding.registry.StoreProtocol
 import org.arbutusnotch.forwarding.registry.StoreSnapshot
+import org.arbutusnotch.forwarding.registry.WatchRole
 import org.arbutusnotch.forwarding.stream.OriginResolver
 import org.arbutusnotch.forwarding.stream.StreamOrigins
 import org.arbutusnotch.forwarding.workspace.ConfirmedConfiguration
@@ -154,6 +154,8 @@
         clock,
     ) { metrics.recordRejectedClient(it.code()) }
     private val connectionBounds = ConnectionBounds(settings.maximumDescriptors)
+    private val watchRole =
+        WatchRole(self.address, serving = { membership.serving() }, reachable = { membership.counts().reachable })
     private val publishedState = PublishedState(protocols.items, clock, registry) { onRouteTable(it) }
     private val configuration: ConfirmedConfiguration = ConfirmedConfiguration(
         self = self.address,
@@ -169,7 +171,7 @@
     private val routeFollower: StoreFollower = follower(
         prefix = protocols.items.routePrefix,
         listener = publishedState.routeListener,
-        watchTime = { configuration.watchTime ?: usualWatchTime() },
+        watchTime = { configuration.watchTime ?: watchRole.watchTime },
         onCurrent = { sentAt, validAt -> configuration.onStoreAnswer(sentAt, validAt) },
     )
     private val serverFollower: StoreFollower = follower(protocols.items.serverPrefix, publishedState.serverListener)
@@ -375,7 +377,7 @@
     private fun follower(
         prefix: String,
         listener: StoreListener,
-        watchTime: () -> Duration = ::usualWatchTime,
+        watchTime: () -> Duration = { watchRole.watchTime },
         onCurrent: (sentAt: Timestamp, validAt: Timestamp) -> Unit = { _, _ -> },
     ) = StoreFollower(
         prefix = prefix,
@@ -390,8 +392,6 @@
         onCurrent = onCurrent,
     )
 
-    private fun usualWatchTime() = WatchTime.of(membership.counts().reachable)
-
     private fun endpoint(
         address: String,
         handler: RequestHandler,
@@ -497,6 +497,7 @@
             quotaClient.tick(now)
             streamOrigins.tick(now)
             checkForMissedChanges(now)
+            if (watchRole.begins(now)) followers.values.forEach { it.confirm(notBefore = now) }
             beginServing()
             housekeeping(now)
             if (gap > LATE_SHUTDOWN_THRESHOLD) shutdownPausedUntil = now + CATCH_UP_TIME
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/LostAnswerTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/registry/LostAnswerTest.kt
@@ -97,6 +97,46 @@
         expectThat(known.first()).isNotNull().isGreaterThan(before)
     }
 
+    /** Returns instances whose watches have all begun a moment ago, with the wait of a fleet. */
+    private fun instancesWithNewWatches(): List<InstanceFixture> {
+        val instances = instances(count = FLEET)
+        awaitUntil("all instances know each other") { instances.all { it.knowsFleet() } }
+        Thread.sleep(ROLE_MILLIS)
+        store.put("routes/table", testRoutes(revision = 2))
+        store.put("servers/c", testServer("c", staying.address))
+        Thread.sleep(DELIVERY_MILLIS)
+        awaitUntil("all watches wait") { store.waitingWatches == 2 * FLEET }
+        return instances
+    }
+
+    /**
+     * Guards against routes that stay in force at all instances after their open connections to the store went silent
+     * at the same time (review case 10).
+     */
+    @Test
+    fun `instances of a fleet hear of new routes although all their watches were lost`() {
+        val instances = instancesWithNewWatches()
+        store.silenceWatches()
+        Thread.sleep(SOUND_MILLIS)
+        val routes = testRoutes(revision = 3)
+        val remaining = routes.routes.filter { it.prefix != "/safe/" }
+        store.put("routes/table", RouteTable(routes.revision, remaining, routes.pools, routes.limits))
+        Thread.sleep(DRAIN_MILLIS)
+        expectThat(instances.map { it.call("/safe/x", "r1")?.status }).all { isEqualTo(404) }
+    }
+
+    /** Guards against a leaving server that all instances use on after their open connections went silent. */
+    @Test
+    fun `instances of a fleet hear of a leaving server although all their watches were lost`() {
+        val instances = instancesWithNewWatches()
+        val before = instances.mapNotNull { it.knownRevision() }.distinct().single()
+        store.silenceWatches()
+        Thread.sleep(SOUND_MILLIS)
+        drain()
+        Thread.sleep(DRAIN_MILLIS)
+        expectThat(instances.map { it.knownRevision() }).all { isNotNull().isGreaterThan(before) }
+    }
+
     private fun InstanceFixture.knowsFleet() = get(directoryAddress, "/where")?.body.orEmpty().split(',').size == FLEET
 
     private companion object {
@@ -106,6 +146,12 @@
         /** Time within which a leaving server and new routes must take effect. */
         const val DRAIN_MILLIS = 2_000L
         const val CALLS = 8
+
+        /** Time after which the same instances call the store often as before: two checks of the role. */
+        const val ROLE_MILLIS = 1_000L
+
+        /** Time within which a sound store delivers changes and the instances watch again. */
+        const val DELIVERY_MILLIS = 500L
         const val FLEET = 6
     }
 }
