Count unknown seeds in the majority that stage changes need

Cause: an instance orders stage changes while it reaches more than half of the instances that it knows. One that has found nobody knows only itself.

Seeds of which no row has ever arrived now count as instances that may run and are not reached. The retry budget, limits that servers name and quotas still count known instances only.

FleetViewSimulationTest, "an instance whose seeds are down reaches no majority until it finds the others", failed without the unknown seeds in the count.

Price: an instance that knows fewer instances than it has unknown seeds orders no stage change until it finds others.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/membership/InstanceTable.kt
@@ -74,6 +74,13 @@
     /** Addresses to contact in addition to the published list. */
     public var seeds: Collection<InstanceAddress> = seeds
 
+    /** Seeds whose rows were known and have been removed. */
+    private val removedSeeds = HashSet<InstanceAddress>()
+
+    /** Number of seeds, other than this process, of whose instances this process has never known a row. */
+    public val unknownSeedCount: Int
+        get() = seeds.toSet().count { it != self.address && it !in peers && it !in removedSeeds }
+
     private var rowRound = 0L
     private var heartbeatRound = 0L
     private var lastTick: Timestamp? = null
@@ -211,7 +218,10 @@
     public fun tick(now: Timestamp): List<MembershipEvent> {
         extendSuspicionAfterPause(now)
         val removed = peers.values.filter { it.removeAt <= now }
-        removed.forEach { peers.remove(it.row.instance.address) }
+        removed.map { it.row.instance.address }.forEach { address ->
+            peers.remove(address)
+            if (address in seeds) removedSeeds += address
+        }
         if (removed.isNotEmpty()) changeCount += 1
         val silent = peers.values.filter { it.reachable && it.suspectAt <= now && isUnanswered(it, now) }
         return removed.map { MembershipEvent.Removed(it.row.instance) } + silent.map { setUnreachable(it) }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/InstanceTableTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/membership/InstanceTableTest.kt
@@ -53,6 +53,19 @@
         expectThat(table.recentlyLost(suspectedAt + InstanceTable.RECENTLY_LOST_TIME)).isEmpty()
     }
 
+    /** Guards against seeds that were lost for good and count as unknown, so that those that remain lack a majority. */
+    @Test
+    fun `a seed is unknown until its row arrives and is not unknown again after the row is removed`() {
+        expectThat(table.unknownSeedCount).isEqualTo(1)
+        table.merge(listOf(rowOf(9)), start)
+        expectThat(table.unknownSeedCount).isEqualTo(0)
+        table.tick(start + InstanceTable.REMOVAL)
+        expectThat(table.find(addressOf(9))).isNull()
+        expectThat(table.unknownSeedCount).isEqualTo(0)
+        table.seeds = listOf(addressOf(8), addressOf(9))
+        expectThat(table.unknownSeedCount).isEqualTo(1)
+    }
+
     @Test
     fun `the suspicion deadline grows with the size of a large fleet`() {
         val instancesPerMessage = InstanceTable.ROW_LIMIT + InstanceTable.HEARTBEAT_LIMIT
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -228,7 +228,7 @@
         record = { workspace, result -> metrics.recordQuota(workspace, result) },
         now = { clock.now() },
     )
-    private val tenure = DispatcherTenure({ dispatchClient.isDispatcher(it) }, { membership.counts().hasMajority })
+    private val tenure = DispatcherTenure({ dispatchClient.isDispatcher(it) }, { membership.reachesMajority() })
     private val announcementHandler = AnnouncementHandler(
         registry = registry,
         now = { clock.now() },
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatcherTenure.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatcherTenure.kt
@@ -15,7 +15,7 @@
  * Tracks the tenure of this instance for each pool.
  *
  * @param isDispatcher returns whether this instance is the dispatcher of a pool in its own membership view
- * @param seesMajority returns whether more than half of the known instances are reachable
+ * @param seesMajority returns whether more than half of the instances that may run are reachable
  */
 internal class DispatcherTenure(
     private val isDispatcher: (PoolId) -> Boolean,
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/membership/Membership.kt
@@ -85,6 +85,12 @@
     /** Counts the known instances and the reachable ones among them, including this one. */
     fun counts(): InstanceCounts = instanceCounts.get()
 
+    /**
+     * Whether more than half of the instances that may run are reachable. Those include the seeds of which nothing is
+     * known: they and the instances that they know may form a fleet that this instance has not found.
+     */
+    fun reachesMajority(): Boolean = counts().let { it.copy(known = it.known + table.unknownSeedCount) }.hasMajority
+
     private fun countInstances(): InstanceCounts {
         val views = table.views()
         return InstanceCounts(known = views.size, reachable = views.count { it.reachable })
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/membership/FleetViewSimulationTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/membership/FleetViewSimulationTest.kt
@@ -27,6 +27,7 @@
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -88,6 +89,22 @@
         expectThat(fleet.membersThatMiss(3)).isEmpty()
         expectThat(fleet.missedBy(3)).isEmpty()
     }
+
+    /** Guards against a second instance that orders stage changes because it has found no other one (review case 6). */
+    @Test
+    fun `an instance whose seeds are down reaches no majority until it finds the others`() {
+        val fleet = SimulatedMembers(size = 8, lossPercent = 0)
+        val added = 7
+        fleet.stop(setOf(added))
+        fleet.run(until = 8.seconds)
+        fleet.stop(setOf(0, 1, 2))
+        fleet.resume(added)
+        fleet.run(until = 20.seconds)
+        expectThat(fleet.membersWithMajority()).isEqualTo(listOf(3, 4, 5, 6))
+        fleet.resume(0)
+        fleet.run(until = 24.seconds)
+        expectThat(fleet.membersWithMajority()).isEqualTo(listOf(0, 3, 4, 5, 6, added))
+    }
 }
 
 /** Time for which a failure may stay unnoticed. */
@@ -137,6 +154,14 @@
         stopped += numbers
     }
 
+    /** Lets a stopped instance run on; one that was stopped from the start has just been added. */
+    fun resume(number: Int) {
+        stopped -= number
+    }
+
+    fun membersWithMajority(): List<Int> =
+        members.filter { it.number !in stopped && it.membership.reachesMajority() }.map { it.number }
+
     fun restart(number: Int) {
         members[number] = Member(number, incarnation = 2)
     }
