Take the times of a shutdown from its schedule

Shutdown repeated the expiry of the address lists and the forced exit, which followed from other constants than the schedule. The times are unchanged: the final answers are due FINAL_ANSWER_TIME before the forced exit.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -621,13 +621,6 @@
     private fun beginShutdown() {
         if (activeShutdown != null) return
         val now = clock.now()
-        activeShutdown = Shutdown(
-            listsExpireAt = now + ADDRESS_LIST_LIFETIME,
-            idleCloseAt = now + settings.shutdownTime * IDLE_CLOSE_SHARE,
-            forcedExitAt = now + settings.shutdownTime - PROCESS_EXIT_TIME,
-        )
-        membership.updateOwnRow(state = InstanceState.DRAINING)
-        front.startDraining()
         val schedule = ShutdownSchedule(
             beganAt = now,
             answerBy = now + settings.shutdownTime - PROCESS_EXIT_TIME - FINAL_ANSWER_TIME,
@@ -635,6 +628,13 @@
             listsExpireAt = now + ADDRESS_LIST_LIFETIME,
             replacedBy = now + settings.shutdownTime,
         )
+        activeShutdown = Shutdown(
+            listsExpireAt = schedule.listsExpireAt,
+            idleCloseAt = now + settings.shutdownTime * IDLE_CLOSE_SHARE,
+            forcedExitAt = schedule.answerBy + FINAL_ANSWER_TIME,
+        )
+        membership.updateOwnRow(state = InstanceState.DRAINING)
+        front.startDraining()
         context.shutdownNotice.announce(schedule)
         log.info("stopping") {
             field("busy_connections", front.busyConnections)
