Stop a booking at its deadline after its caller has left

Callers saw requests refused as overloaded while servers were idle: for 23 to 34 s one of three servers did all the work of its pool. A non-idempotent call runs on after its caller has disconnected, and the end of its exchange cancelled the watch on its deadline. If the answer was lost, the call held its place for good, and a server that holds work without answering gets none. Such a call is now stopped at its deadline, as for a caller that waits.

The test failed before: the connection to the server was open after 5 s, with a deadline of 2 s.

--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/CallExchange.kt
@@ -52,9 +52,14 @@
         requestPlace(countsAsRetry)
     }
 
-    /** A non-idempotent call runs to its end, so that a disconnect of the caller does not interrupt a booking. */
+    /**
+     * A non-idempotent call runs to its end, so that a disconnect of the caller does not interrupt a booking. If its
+     * server has not answered by the deadline, it ends as for a caller that waits, and its place becomes free.
+     */
     override fun stopAfterDisconnect() {
-        if (request.route.kind.idempotent) stopAttempt() else attempts.forEach { it.stopUnlessSent() }
+        if (request.route.kind.idempotent) return stopAttempt()
+        attempts.forEach { it.stopUnlessSent() }
+        context.schedule(deadlineAt) { stopAttempt() }
     }
 
     private fun onAttemptEnd(ended: Attempt, result: AttemptResult) {
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerFaultTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/ServerFaultTest.kt
@@ -211,4 +211,22 @@
         }
         server.close()
     }
+
+    /** Guards against places that stay held, and a server that gets no work, because one answer was lost. */
+    @Test
+    fun `disconnect of the caller lets a non-idempotent call run until its deadline`() {
+        val closed = AtomicBoolean()
+        val server = ScriptedServer { if (request.header("id") == "r1") closed.set(awaitClose(5_000)) else answer() }
+        InstanceFixture(servers = listOf(testServer("a", server.address))).use { fixture ->
+            RawCaller(fixture.front).use { caller ->
+                caller.write(fixture.request("/once/x", "r1", "wait: 2000\r\n"))
+                awaitUntil("the server has the request") { server.requests.isNotEmpty() }
+            }
+            Thread.sleep(500)
+            expectThat(closed.get()).isEqualTo(false)
+            awaitUntil("the server's connection is closed") { closed.get() }
+            expectThat(fixture.call("/once/y", "r2")?.status).isEqualTo(200)
+        }
+        server.close()
+    }
 }
