Pace the requests to a server that fails at once

Callers saw most requests fail while a sound server of the pool had room: of 200 in a row, 180 on a safe route and all on a once-only route. A server that fails far more often than its peers gets one request at a time, which bounds nothing if it fails at once: it is free again for the next request. After a failure such a server now gets none for 50 ms, twice as long after each further failure in a row, up to 2 s; a success ends the pause.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
@@ -6,7 +6,9 @@
  * holds for all instances once two of them agree and no other one has had an answer since.
  *
  * A server whose answers fail or break far more often than those of its peers also gets one request at a time,
- * separately for each failure domain of callers, because a fault may affect only some of them.
+ * separately for each failure domain of callers, because a fault may affect only some of them. After each failure it
+ * gets none for a time that doubles from failure to failure: a server that fails at once is always free for the next
+ * request, which another server would answer.
  */
 package org.arbutusnotch.core.dispatch
 
@@ -75,8 +77,7 @@
         val pausedUntil = (shared + listOfNotNull(faultyPaths[holder])).maxOfOrNull { it.pausedUntil }
         return when {
             pausedUntil != null -> if (now < pausedUntil) Admission.NONE else Admission.PROBE
-            share(domain).isAbove(medianFailureShare + TOLERATED_EXCESS, now) -> Admission.PROBE
-            else -> Admission.FULL
+            else -> share(domain).admission(limit = medianFailureShare + TOLERATED_EXCESS, now)
         }
     }
 
@@ -111,17 +112,18 @@
 
         fun recordFault(now: Timestamp) {
             consecutiveFaults += 1
-            pausedUntil = now + pauseDuration()
+            pausedUntil = now + pauseDuration(FIRST_PAUSE, consecutiveFaults)
         }
-
-        private fun pauseDuration(): Duration =
-            minOf(FIRST_PAUSE * (1 shl minOf(consecutiveFaults - 1, MAXIMUM_DOUBLINGS)), MAXIMUM_PAUSE)
     }
 
     private class FailureShare {
         var value = 0.0
         private var samples = 0
         private var observedAt = Timestamp(0)
+        private var consecutiveFailures = 0
+
+        /** Time before which a server that fails too often gets no request. */
+        private var nextProbeAt = Timestamp(0)
 
         fun observe(failed: Boolean, now: Timestamp) {
             if (now - observedAt > FAILURE_WINDOW) samples = 0
@@ -129,17 +131,31 @@
             value += SAMPLE_WEIGHT * ((if (failed) 1.0 else 0.0) - value)
             samples += 1
             observedAt = now
+            consecutiveFailures = if (failed) consecutiveFailures + 1 else 0
+            nextProbeAt = if (failed) now + pauseDuration(FIRST_PROBE_INTERVAL, consecutiveFailures) else now
         }
 
-        fun isAbove(limit: Double, now: Timestamp) =
-            samples >= MINIMUM_SAMPLES && value > limit && now - observedAt <= FAILURE_WINDOW
+        /** Returns how much work the server may get if failures up to the share [limit] are tolerated. */
+        fun admission(limit: Double, now: Timestamp): Admission {
+            val isAbove = samples >= MINIMUM_SAMPLES && value > limit && now - observedAt <= FAILURE_WINDOW
+            return when {
+                !isAbove -> Admission.FULL
+                now < nextProbeAt -> Admission.NONE
+                else -> Admission.PROBE
+            }
+        }
     }
 
     private companion object {
         /** Pause after the first fault; longer than the delay that one lost packet causes. */
         val FIRST_PAUSE = 400.milliseconds
+
+        /** Pause after a single failure; short, so that a server that loses some of its answers goes on working. */
+        val FIRST_PROBE_INTERVAL = 50.milliseconds
+
+        /** Time after which a server that has recovered gets a request at the latest. */
         val MAXIMUM_PAUSE = 2.seconds
-        const val MAXIMUM_DOUBLINGS = 4
+        const val MAXIMUM_DOUBLINGS = 6
 
         /** Instances that must find a server unreachable before it counts as that for all. */
         const val AGREEING_INSTANCES = 2
@@ -154,5 +170,8 @@
 
         /** Excess over the median failure share above which a server gets only probes. */
         const val TOLERATED_EXCESS = 0.25
+
+        fun pauseDuration(first: Duration, consecutiveFaults: Int): Duration =
+            minOf(first * (1 shl minOf(consecutiveFaults - 1, MAXIMUM_DOUBLINGS)), MAXIMUM_PAUSE)
     }
 }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
@@ -21,6 +21,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotEqualTo
 import kotlin.time.Duration
@@ -245,6 +246,48 @@
         expectThat(counts.getValue(BackendServerId("b")) >= 3).isEqualTo(true)
     }
 
+    /** Guards against a server that fails at once, and so is always free, drawing the requests of the pool. */
+    @Test
+    fun `server that fails at once gets one request in a hundred after the first second`() {
+        val load = FailingServerLoad()
+        load.run(requests = 100)
+        load.requestsOfFailing = 0
+        load.run(requests = 1_000)
+        expectThat(load.requestsOfFailing).isLessThanOrEqualTo(10)
+    }
+
+    /** Guards against a server that has recovered being kept out of use. */
+    @Test
+    fun `server that has stopped failing gets its share within three seconds`() {
+        val load = FailingServerLoad()
+        load.run(requests = 500)
+        load.isFailing = false
+        load.run(requests = 300)
+        load.requestsOfFailing = 0
+        load.run(requests = 100)
+        expectThat(load.requestsOfFailing).isGreaterThanOrEqualTo(40)
+    }
+
+    /** Sends a request every 10 ms; one server takes 20 ms for each, and the other one fails at once. */
+    private class FailingServerLoad {
+        private val fixture = DispatchFixture(listOf(server("a", slots = 4), server("b", slots = 4)))
+        private val running = ArrayDeque<DispatchDecision.Granted>()
+        var isFailing = true
+        var requestsOfFailing = 0
+
+        fun run(requests: Int): Unit = repeat(requests) {
+            val granted = fixture.submitCall().granted().single()
+            if (granted.server == BackendServerId("a")) requestsOfFailing += 1
+            if (granted.server == BackendServerId("a") && isFailing) {
+                fixture.release(granted, outcome = PlaceOutcome.SERVER_FAILED, elapsed = Duration.ZERO)
+            } else {
+                running += granted
+            }
+            fixture.advance(10.milliseconds)
+            if (running.size > 2) fixture.release(running.removeFirst(), elapsed = 20.milliseconds)
+        }
+    }
+
     /** Guards against counting the places of an earlier process for its successor with the same id. */
     @Test
     fun `restarted server starts without places in use`() {
