--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/workspace/ConfirmingInstancesTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/workspace/ConfirmingInstancesTest.kt
@@ -3,13 +3,8 @@
  */
 package org.arbutusnotch.core.workspace
 
-import org.arbutusnotch.core.id.FailureDomainId
-import org.arbutusnotch.core.id.Incarnation
-import org.arbutusnotch.core.id.InstanceAddress
-import org.arbutusnotch.core.id.InstanceId
 import org.arbutusnotch.core.membership.InstanceView
-import org.arbutusnotch.core.message.InstanceRow
-import org.arbutusnotch.core.message.InstanceState
+import org.arbutusnotch.core.membership.viewOf
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
@@ -17,24 +12,12 @@
 import strikt.assertions.isTrue
 
 internal class ConfirmingInstancesTest {
-    private fun view(number: Int, domain: String) = InstanceView(
-        row = InstanceRow(
-            instance = InstanceId(InstanceAddress("10.0.0.$number:1"), Incarnation(1)),
-            entryAddress = "",
-            operatorAddress = "",
-            failureDomain = FailureDomainId(domain),
-            state = InstanceState.SERVING,
-            heartbeat = 1,
-        ),
-        reachable = true,
-    )
-
     private fun confirming(views: List<InstanceView>) = views.filter { ConfirmingInstances.contains(it.address, views) }
 
     /** Guards against a domain whose instances have no confirmations once it is cut off. */
     @Test
     fun `two instances of each domain confirm, and others replace them`() {
-        val views = (1..60).map { view(it, "d${it % 3}") } + view(61, "small")
+        val views = (1..60).map { viewOf(it, "d${it % 3}") } + viewOf(61, "small")
         val selected = confirming(views)
         expectThat(selected.groupingBy { it.row.failureDomain.value }.eachCount())
             .isEqualTo(mapOf("d0" to 2, "d1" to 2, "d2" to 2, "small" to 1))
@@ -43,7 +26,7 @@
 
     @Test
     fun `an instance that does not serve does not confirm`() {
-        expectThat(ConfirmingInstances.contains(view(1, "a").address, listOf(view(2, "a")))).isFalse()
-        expectThat(ConfirmingInstances.contains(view(2, "a").address, listOf(view(2, "a")))).isTrue()
+        expectThat(ConfirmingInstances.contains(viewOf(1, "a").address, listOf(viewOf(2, "a")))).isFalse()
+        expectThat(ConfirmingInstances.contains(viewOf(2, "a").address, listOf(viewOf(2, "a")))).isTrue()
     }
 }
