--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/FailingServerTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/FailingServerTest.kt
@@ -48,7 +48,7 @@
             ScriptedServer {
                 Thread.sleep(ANSWER_MILLIS)
                 sound.incrementAndGet()
-                if (route == "stream") stream() else answer()
+                if (route == "stream") streamOfOneEvent() else answer()
             },
         )
         val stage = if (route == "stream") ServerStage.DECODE else ServerStage.WHOLE
@@ -65,12 +65,6 @@
         expectThat(failed.get()).isLessThanOrEqualTo(MEASURED_TIME.inWholeSeconds.toInt())
     }
 
-    private fun AnswerWriter.stream() {
-        streamHead()
-        event(1)
-        endOfStream()
-    }
-
     private fun InstanceFixture.callFor(time: Duration, route: String) {
         val end = TimeSource.Monotonic.markNow() + time
         while (end.hasNotPassedNow()) call(route)
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/InvalidFieldTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/InvalidFieldTest.kt
@@ -89,12 +89,6 @@
         awaitClose(OPEN_MILLIS)
     }
 
-    private fun AnswerWriter.stream() {
-        streamHead()
-        event(1)
-        endOfStream()
-    }
-
     /** Starts two servers; the first one to get a request runs [first], the other one [second]. */
     private fun instance(
         stage: ServerStage = ServerStage.WHOLE,
@@ -164,7 +158,7 @@
     @ParameterizedTest
     @EnumSource
     fun `resumable stream with an invalid line runs elsewhere`(line: InvalidLine) {
-        val instance = instance(ServerStage.DECODE, second = { stream() }) { invalid(line, ODD_EVENT) }
+        val instance = instance(ServerStage.DECODE, second = { streamOfOneEvent() }) { invalid(line, ODD_EVENT) }
         val answer = instance.callStream("resumable")
         expectThat(answer?.body).isEqualTo(EVENT)
     }
@@ -174,7 +168,7 @@
     @EnumSource
     fun `handle of a prefill with an invalid line is not used`(line: InvalidLine) {
         val prefill = server { invalid(line, body = "handle-1") }
-        val decode = server { stream() }
+        val decode = server { streamOfOneEvent() }
         val servers = listOf(
             testServer("p", prefill.address, ServerStage.PREFILL),
             testServer("d", decode.address, ServerStage.DECODE),
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/InvalidStatusTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/InvalidStatusTest.kt
@@ -37,12 +37,6 @@
         awaitClose(OPEN_MILLIS)
     }
 
-    private fun AnswerWriter.stream() {
-        streamHead()
-        event(1)
-        endOfStream()
-    }
-
     /** Starts two servers; the first one to get a request answers with [status], the other one runs [second]. */
     private fun instance(
         status: String,
@@ -111,7 +105,7 @@
     @ParameterizedTest
     @ValueSource(strings = ["000", "101", "600", "+200"])
     fun `resumable stream with an invalid status runs elsewhere`(status: String) {
-        val instance = instance(status, ServerStage.DECODE) { stream() }
+        val instance = instance(status, ServerStage.DECODE) { streamOfOneEvent() }
         val answer = instance.call("/resumable/x", "r1", "tokens: 100,10\r\n")
         expectThat(answer?.body).isEqualTo("id: 1\ndata: token 1\n\n")
     }
@@ -124,7 +118,7 @@
             answer(status = "$status Odd", body = "handle-1")
             awaitClose(OPEN_MILLIS)
         }
-        val decode = server { stream() }
+        val decode = server { streamOfOneEvent() }
         val servers = listOf(
             testServer("p", prefill.address, ServerStage.PREFILL),
             testServer("d", decode.address, ServerStage.DECODE),
