--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/GenerationExchange.kt
@@ -154,11 +154,11 @@
      */
     override fun predictDuration(): DurationPrediction {
         val now = context.now()
+        if (context.shutdownNotice.isReplaced(now)) return DurationPrediction.Replaced
         val longest = longestDuration
         val expected = context.generationDurations.expected(pool, request.caller.outputLength, request.route.objective)
             .takeIf { context.shutdownNotice.acceptsEstimates(now) }
         return when {
-            context.shutdownNotice.isReplaced(now) -> DurationPrediction.Replaced
             expected != null && (longest == null || expected < longest) -> DurationPrediction.ByEstimate(expected)
             longest != null -> DurationPrediction.ByMaximum(longest)
             else -> DurationPrediction.Unknown
