Share the doubling of pauses

Five places computed the same exponential backoff, one of them twice. Each had a maximum number of doublings of its own, which only kept the factor from overflowing: all of them exceeded the maximum time before it. Behaviour is unchanged.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/RejectionBackoff.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/RejectionBackoff.kt
@@ -8,7 +8,7 @@
 package org.arbutusnotch.core.dispatch
 
 import org.arbutusnotch.core.time.Timestamp
-import kotlin.time.Duration
+import org.arbutusnotch.core.time.backoff
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -24,9 +24,9 @@
     /** Records a rejection; each further one doubles the time without runs. */
     fun recordRejection(now: Timestamp) {
         if (now >= lastRejectedAt + MEMORY) consecutiveRejections = 0
+        closedUntil = maxOf(closedUntil, now + FIRST_PAUSE.backoff(consecutiveRejections, MAXIMUM_PAUSE))
         consecutiveRejections += 1
         lastRejectedAt = now
-        closedUntil = maxOf(closedUntil, now + pause())
     }
 
     /** Records that a run was placed; after a rejection, the next one waits until it shows whether it is accepted. */
@@ -41,13 +41,9 @@
         closedUntil = Timestamp(0)
     }
 
-    private fun pause(): Duration =
-        minOf(FIRST_PAUSE * (1 shl minOf(consecutiveRejections - 1, MAXIMUM_DOUBLINGS)), MAXIMUM_PAUSE)
-
     private companion object {
         val FIRST_PAUSE = 300.milliseconds
         val MAXIMUM_PAUSE = 2_400.milliseconds
-        const val MAXIMUM_DOUBLINGS = 3
 
         /** Time in which a run reaches its engine: it is sent there only after its prompt was processed elsewhere. */
         val DECISION_TIME = 600.milliseconds
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
@@ -16,7 +16,7 @@
 import org.arbutusnotch.core.id.InstanceAddress
 import org.arbutusnotch.core.message.PlaceOutcome
 import org.arbutusnotch.core.time.Timestamp
-import kotlin.time.Duration
+import org.arbutusnotch.core.time.backoff
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -111,8 +111,8 @@
         var othersReachServer = false
 
         fun recordFault(now: Timestamp) {
+            pausedUntil = now + FIRST_PAUSE.backoff(consecutiveFaults, MAXIMUM_PAUSE)
             consecutiveFaults += 1
-            pausedUntil = now + pauseDuration(FIRST_PAUSE, consecutiveFaults)
         }
     }
 
@@ -131,8 +131,8 @@
             value += SAMPLE_WEIGHT * ((if (failed) 1.0 else 0.0) - value)
             samples += 1
             observedAt = now
+            nextProbeAt = if (failed) now + FIRST_PROBE_INTERVAL.backoff(consecutiveFailures, MAXIMUM_PAUSE) else now
             consecutiveFailures = if (failed) consecutiveFailures + 1 else 0
-            nextProbeAt = if (failed) now + pauseDuration(FIRST_PROBE_INTERVAL, consecutiveFailures) else now
         }
 
         /** Returns how much work the server may get if failures up to the share [limit] are tolerated. */
@@ -155,7 +155,6 @@
 
         /** Time after which a server that has recovered gets a request at the latest. */
         val MAXIMUM_PAUSE = 2.seconds
-        const val MAXIMUM_DOUBLINGS = 6
 
         /** Instances that must find a server unreachable before it counts as that for all. */
         const val AGREEING_INSTANCES = 2
@@ -170,8 +169,5 @@
 
         /** Excess over the median failure share above which a server gets only probes. */
         const val TOLERATED_EXCESS = 0.25
-
-        fun pauseDuration(first: Duration, consecutiveFaults: Int): Duration =
-            minOf(first * (1 shl minOf(consecutiveFaults - 1, MAXIMUM_DOUBLINGS)), MAXIMUM_PAUSE)
     }
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/MissedChanges.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/forwarding/MissedChanges.kt
@@ -8,7 +8,7 @@
 package org.arbutusnotch.core.forwarding
 
 import org.arbutusnotch.core.time.Timestamp
-import kotlin.time.Duration
+import org.arbutusnotch.core.time.backoff
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -76,13 +76,10 @@
         newest = null
         changes.forEach { unconfirmed += it }
         while (unconfirmed.size > UNCONFIRMED_LIMIT) unconfirmed -= unconfirmed.first()
-        nextQueryAt = now + queryDelay()
+        nextQueryAt = now + INITIAL_QUERY_DELAY.backoff(unconfirmedQueries, MAXIMUM_QUERY_DELAY)
         unconfirmedQueries += 1
     }
 
-    private fun queryDelay(): Duration =
-        minOf(INITIAL_QUERY_DELAY * (1 shl minOf(unconfirmedQueries, MAXIMUM_DOUBLINGS)), MAXIMUM_QUERY_DELAY)
-
     private class Expected(val change: StorePosition, val deadline: Timestamp)
 
     private companion object {
@@ -98,7 +95,6 @@
          */
         val INITIAL_QUERY_DELAY = 1.seconds
         val MAXIMUM_QUERY_DELAY = 20.seconds
-        const val MAXIMUM_DOUBLINGS = 5
 
         /** Number of changes to remember; a peer that names more of them in turn is bounded by the delay of queries. */
         const val UNCONFIRMED_LIMIT = 16
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/straggler/ServerRow.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/straggler/ServerRow.kt
@@ -8,6 +8,7 @@
 import org.arbutusnotch.core.message.ServerSummary
 import org.arbutusnotch.core.reservation.LoadReport
 import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.core.time.backoff
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
@@ -69,9 +70,8 @@
     }
 
     fun recordFailure(now: Timestamp) {
-        val backoff = INITIAL_BACKOFF * (1 shl consecutiveFailures.coerceAtMost(MAXIMUM_BACKOFF_EXPONENT))
+        backoffUntil = now + INITIAL_BACKOFF.backoff(consecutiveFailures, MAXIMUM_BACKOFF)
         consecutiveFailures++
-        backoffUntil = now + minOf(backoff, MAXIMUM_BACKOFF)
     }
 
     fun recordSuccess() {
@@ -163,7 +163,6 @@
 
         val INITIAL_BACKOFF: Duration = 250.milliseconds
         val MAXIMUM_BACKOFF: Duration = 10.seconds
-        const val MAXIMUM_BACKOFF_EXPONENT = 6
 
         /** Time that a reservation request takes to reach the slot owner. */
         val RESERVATION_LATENCY: Duration = 10.milliseconds
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/registry/StoreFollower.kt
@@ -14,6 +14,7 @@
 import org.arbutusnotch.core.forwarding.WatchSpacing
 import org.arbutusnotch.core.forwarding.WatchTime
 import org.arbutusnotch.core.time.Timestamp
+import org.arbutusnotch.core.time.backoff
 import org.arbutusnotch.forwarding.http.BufferedCall
 import org.arbutusnotch.forwarding.http.CallEnd
 import org.arbutusnotch.forwarding.http.HttpRequestMessage
@@ -372,8 +373,8 @@
     }
 
     private fun resumeLater() {
+        val backoff = INITIAL_BACKOFF.backoff(fruitlessCalls, MAXIMUM_BACKOFF)
         fruitlessCalls += 1
-        val backoff = minOf(INITIAL_BACKOFF * (1 shl minOf(fruitlessCalls - 1, MAXIMUM_DOUBLINGS)), MAXIMUM_BACKOFF)
         val jitteredDelay = backoff.inWholeMilliseconds / 2 + random.nextLong(backoff.inWholeMilliseconds / 2 + 1)
         resumeAfter(jitteredDelay.milliseconds)
     }
@@ -427,6 +428,5 @@
          */
         val INITIAL_BACKOFF = 100.milliseconds
         val MAXIMUM_BACKOFF = 800.milliseconds
-        const val MAXIMUM_DOUBLINGS = 3
     }
 }
