Report servers that are held back for failures to the operators

The dispatcher of a pool now writes server_held_back and server_no_longer_held_back, each with the share of failures, the number of samples, the age of the latest answer and the time of the next probe, checked twice a second. A counter has the changes by pool. The decisions about requests stay as they are; the comparison with the median is shared with them.

The loop of FailingServerTest that waits for the first failures now ends after five seconds if the failing server gets no request.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -137,8 +137,7 @@
     private val entry: WaitingRequest,
     private val now: Timestamp,
 ) {
-    private val medianFailureShare: Double =
-        servers.map { it.health.failureShare(entry.domain) }.sorted().getOrElse((servers.size - 1) / 2) { 0.0 }
+    private val medianFailureShare: Double = HeldBackServers.medianFailureShare(servers, entry.domain)
 
     private val mostAreUnhealthy: Boolean by lazy(LazyThreadSafetyMode.NONE) {
         servers.count { ownAdmission(it) != Admission.FULL } * 2 > servers.size
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -73,6 +73,7 @@
     /** Time per expected output token of a generation. */
     private val outputSpeed = SpeedEstimate(OUTPUT_SPEED_WEIGHT)
     private var selection: PlaceSelection = CallPlaceSelection(trackedServers)
+    private val heldBackServers = HeldBackServers(trackedServers)
 
     /** Number of queued requests. */
     public val queueLength: Int
@@ -101,6 +102,9 @@
     /** Returns the changes in the pace of servers since the previous call. */
     public fun takePaceChanges(): List<PaceChange> = pace?.takeChanges().orEmpty()
 
+    /** Returns which servers were held back for failures, or no longer, since the previous call. */
+    public fun takeHeldBackChanges(): List<HeldBackChange> = heldBackServers.takeChanges()
+
     /** Returns the number of retries that the retry budget still allows at [now]. */
     public fun availableRetries(now: Timestamp): Int = budget.availableRetries(now)
 
@@ -343,6 +347,7 @@
         recentHolders.values.removeIf { it <= now }
         waiting.values.removeIf { it.expiresAt <= now }
         shares.expire(now)
+        heldBackServers.check(now)
         updatePostponed(now)
         return refuseExcess(now) + dispatchWaiting(now, refusesHopeless = true)
     }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
@@ -77,10 +77,20 @@
         val pausedUntil = (shared + listOfNotNull(faultyPaths[holder])).maxOfOrNull { it.pausedUntil }
         return when {
             pausedUntil != null -> if (now < pausedUntil) Admission.NONE else Admission.PROBE
-            else -> share(domain).admission(limit = medianFailureShare + TOLERATED_EXCESS, now)
+            else -> share(domain).admission(medianFailureShare, now)
         }
     }
 
+    /** Whether callers of [domain] have seen far more failures than [medianFailureShare], the median of the stage. */
+    fun failsTooOften(domain: FailureDomainId, medianFailureShare: Double, now: Timestamp): Boolean =
+        failureShares[domain]?.isAbove(medianFailureShare, now) ?: false
+
+    /** Failure domains whose callers have seen failures, as far as these are remembered. */
+    val domainsWithFailures: Set<FailureDomainId>
+        get() = failureShares.filterValues { it.value > 0 }.keys
+
+    fun failures(domain: FailureDomainId): FailureSummary = share(domain).summary()
+
     /** Whether the path of any instance to the server is faulty. */
     val hasFaultyPaths: Boolean
         get() = faultyPaths.isNotEmpty()
@@ -135,15 +145,18 @@
             consecutiveFailures = if (failed) consecutiveFailures + 1 else 0
         }
 
-        /** Returns how much work the server may get if failures up to the share [limit] are tolerated. */
-        fun admission(limit: Double, now: Timestamp): Admission {
-            val isAbove = samples >= MINIMUM_SAMPLES && value > limit && now - observedAt <= FAILURE_WINDOW
-            return when {
-                !isAbove -> Admission.FULL
-                now < nextProbeAt -> Admission.NONE
-                else -> Admission.PROBE
-            }
+        /** Whether the share is known and exceeds [median], that of the stage, by more than is tolerated. */
+        fun isAbove(median: Double, now: Timestamp): Boolean =
+            samples >= MINIMUM_SAMPLES && value > median + TOLERATED_EXCESS && now - observedAt <= FAILURE_WINDOW
+
+        /** Returns how much work the server may get, given the [median] share of the stage. */
+        fun admission(median: Double, now: Timestamp): Admission = when {
+            !isAbove(median, now) -> Admission.FULL
+            now < nextProbeAt -> Admission.NONE
+            else -> Admission.PROBE
         }
+
+        fun summary() = FailureSummary(value, samples, answeredAt = observedAt, nextProbeAt)
     }
 
     private companion object {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/ForwardingInstance.kt
@@ -195,6 +195,7 @@
         reply = { target, reply -> deliver(target, reply) },
         pacesServers = settings.pacesServers,
         recordPaceChange = { metrics.recordPaceChange(it) },
+        recordHeldBack = { pool, isHeldBack -> metrics.recordHeldBack(pool, isHeldBack) },
     )
     private val dispatchClient = DispatchClient(
         self = self,
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -5,6 +5,7 @@
 
 import org.arbutusnotch.core.dispatch.DispatchDecision
 import org.arbutusnotch.core.dispatch.DispatchPolicy
+import org.arbutusnotch.core.dispatch.HeldBackChange
 import org.arbutusnotch.core.dispatch.PaceChange
 import org.arbutusnotch.core.dispatch.PaceState
 import org.arbutusnotch.core.dispatch.PlaceExplanation
@@ -23,6 +24,7 @@
 import org.arbutusnotch.core.retry.RetryBudget
 import org.arbutusnotch.core.time.Timestamp
 import org.arbutusnotch.telemetry.EventLog
+import java.util.Locale
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -41,6 +43,7 @@
  * @param reply sends a reply to the instance at an address
  * @param pacesServers whether servers that have just started or recovered get fewer requests at a time
  * @param recordPaceChange counts a change of the state in which the pace of a server is
+ * @param recordHeldBack counts a server of a pool that is held back for failures from now on, or no longer
  */
 internal class DispatchService(
     private val servers: (Timestamp) -> List<BackendServer>,
@@ -56,6 +59,7 @@
     private val reply: (InstanceAddress, DispatchReply) -> Unit,
     private val pacesServers: Boolean = false,
     private val recordPaceChange: (PaceState) -> Unit = {},
+    private val recordHeldBack: (pool: PoolId, isHeldBack: Boolean) -> Unit = { _, _ -> },
 ) {
     private val log = EventLog("dispatch")
     private val dispatchers = HashMap<PoolId, PoolDispatcher>()
@@ -168,6 +172,7 @@
 
     private fun deliver(pool: PoolId, decisions: List<DispatchDecision>, now: Timestamp) {
         dispatchers[pool]?.takePaceChanges()?.forEach { reportPaceChange(pool, it) }
+        dispatchers[pool]?.takeHeldBackChanges()?.forEach { reportHeldBack(pool, it, now) }
         decisions.forEach { decision ->
             if (decision is DispatchDecision.Refused) logRefusal(pool, decision, now)
             reply(decision.holder.address, replyOf(decision))
@@ -184,6 +189,20 @@
         }
     }
 
+    private fun reportHeldBack(pool: PoolId, change: HeldBackChange, now: Timestamp) {
+        recordHeldBack(pool, change.isHeldBack)
+        val failures = change.failures
+        log.warn(if (change.isHeldBack) "server_held_back" else "server_no_longer_held_back") {
+            field("server", change.server)
+            field("pool", pool)
+            field("callers_domain", change.domain)
+            field("failure_share", "%.2f".format(Locale.ROOT, failures.share))
+            field("samples", failures.samples)
+            field("answered_before_millis", (now - failures.answeredAt).inWholeMilliseconds)
+            if (change.isHeldBack) field("next_probe_millis", (failures.nextProbeAt - now).inWholeMilliseconds)
+        }
+    }
+
     private fun logRefusal(pool: PoolId, refusal: DispatchDecision.Refused, now: Timestamp) {
         val dispatcher = dispatchers[pool]
         log.info("dispatch_refused") {
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingMetrics.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/exchange/ForwardingMetrics.kt
@@ -8,6 +8,7 @@
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
 import org.arbutusnotch.core.dispatch.PaceState
+import org.arbutusnotch.core.id.PoolId
 import org.arbutusnotch.core.id.WorkspaceId
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -66,6 +67,15 @@
         }.increment()
     }
 
+    /** Counts a server of [pool] that is held back for failures from now on, or no longer if not [isHeldBack]. */
+    fun recordHeldBack(pool: PoolId, isHeldBack: Boolean) {
+        val change = if (isHeldBack) "held_back" else "readmitted"
+        counters.getOrPut("held back ${pool.value}" to change) {
+            Counter.builder("arbutusnotch_server_failure_changes").tag("pool", pool.value).tag("change", change)
+                .register(registry)
+        }.increment()
+    }
+
     /** Counts a client that was rejected for [reason] before its request was passed on. */
     fun recordRejectedClient(reason: String) {
         counters.getOrPut("client" to reason) {
--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/FailingServerTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/FailingServerTest.kt
@@ -8,12 +8,14 @@
 import org.arbutusnotch.forwarding.fixture.AnswerWriter
 import org.arbutusnotch.forwarding.fixture.InstanceFixture
 import org.arbutusnotch.forwarding.fixture.ScriptedServer
+import org.arbutusnotch.forwarding.fixture.awaitUntil
 import org.arbutusnotch.forwarding.fixture.testServer
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import strikt.api.expectThat
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotEmpty
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -54,11 +56,16 @@
         val stage = if (route == "stream") ServerStage.DECODE else ServerStage.WHOLE
         val registered = servers.mapIndexed { index, server -> testServer("s$index", server.address, stage) }
         InstanceFixture(servers = registered).use { fixture ->
-            while (failed.get() < NOTICED_FAILURES) fixture.call(route)
+            awaitUntil("the server has failed") {
+                fixture.call(route)
+                failed.get() >= NOTICED_FAILURES
+            }
             fixture.callFor(WARM_UP_TIME, route)
             failed.set(0)
             sound.set(0)
             fixture.callFor(MEASURED_TIME, route)
+            val metrics = fixture.get(fixture.metricsAddress, "/metrics")?.body.orEmpty()
+            expectThat(metrics.lines().filter { "server_failure_changes" in it && "held_back" in it }).isNotEmpty()
         }
         servers.forEach { it.close() }
         expectThat(sound.get()).isGreaterThan(0)
