--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/membership/ClockStepTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/membership/ClockStepTest.kt
@@ -27,10 +27,10 @@
     fun `instance that restarts with an earlier clock becomes reachable`() {
         InstanceProcess(steady, seed = stepping, stepMillis = 0, directory.resolve("steady")).use { observer ->
             InstanceProcess(stepping, seed = steady, stepMillis = STEP_MILLIS, directory.resolve("first")).use {
-                awaitUntil("the first start is seen") { observer.viewChanges().any { "BecameReachable" in it } }
+                awaitUntil("the first start is seen", ::logs) { observer.viewChanges().any { "BecameReachable" in it } }
             }
             InstanceProcess(stepping, seed = steady, stepMillis = 0, directory.resolve("second")).use { second ->
-                awaitUntil("the second start is seen") {
+                awaitUntil("the second start is seen", ::logs) {
                     observer.viewChanges().lastOrNull { "$stepping/" in it }?.contains("BecameReachable") == true &&
                         observer.viewChanges().any { "Replaced" in it }
                 }
@@ -42,6 +42,10 @@
         }
     }
 
+    /** Returns the logs of all processes, without which a failure cannot be traced. */
+    private fun logs() = directory.toFile().listFiles().orEmpty().sorted()
+        .joinToString("") { "\n${it.name}:\n${it.readText()}" }
+
     private companion object {
         const val STEP_MILLIS = 5_000L
 
