Remember a server that fails at once for longer than its requests pause

Cause: the share of failures of a server expires four seconds after its latest answer, whether that was sound or failed. The pause before the next probe is longer by then, but is not looked at without a share.

A share whose latest answer failed now expires after ten seconds, as the fault of a path does. Until then one request at a time shows whether the server has recovered, and the share falls with each sound answer.

Evidence: CallDispatchTest "one request after five seconds without requests" had 4 requests at the failing server before, and has 1 now.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/ServerHealth.kt
@@ -136,7 +136,7 @@
         private var nextProbeAt = Timestamp(0)
 
         fun observe(failed: Boolean, now: Timestamp) {
-            if (now - observedAt > FAILURE_WINDOW) samples = 0
+            if (isForgotten(now)) samples = 0
             if (samples == 0) value = 0.0
             value += SAMPLE_WEIGHT * ((if (failed) 1.0 else 0.0) - value)
             samples += 1
@@ -147,7 +147,11 @@
 
         /** Whether the share is known and exceeds [median], that of the stage, by more than is tolerated. */
         fun isAbove(median: Double, now: Timestamp): Boolean =
-            samples >= MINIMUM_SAMPLES && value > median + TOLERATED_EXCESS && now - observedAt <= FAILURE_WINDOW
+            samples >= MINIMUM_SAMPLES && value > median + TOLERATED_EXCESS && !isForgotten(now)
+
+        /** Whether the answers are too old to tell how the server is; a failure counts for longer than an answer. */
+        private fun isForgotten(now: Timestamp): Boolean =
+            now - observedAt > if (consecutiveFailures > 0) FAULT_LIFETIME else FAILURE_WINDOW
 
         /** Returns how much work the server may get, given the [median] share of the stage. */
         fun admission(median: Double, now: Timestamp): Admission = when {
@@ -172,10 +176,13 @@
         /** Instances that must find a server unreachable before it counts as that for all. */
         const val AGREEING_INSTANCES = 2
 
-        /** Time after its pause for which a fault is remembered if no request follows on its path. */
+        /**
+         * Time for which a fault is remembered if no request follows; for a faulty path, after its pause. Until then a
+         * request at a time shows whether it has ended, which costs a server that has recovered little.
+         */
         val FAULT_LIFETIME = 10.seconds
 
-        /** Time after which earlier answers no longer count. */
+        /** Time after which earlier answers no longer count if the latest one did not fail. */
         val FAILURE_WINDOW = 4.seconds
         const val SAMPLE_WEIGHT = 0.2
         const val MINIMUM_SAMPLES = 4
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/CallDispatchTest.kt
@@ -268,6 +268,17 @@
         expectThat(load.requestsOfFailing).isGreaterThanOrEqualTo(40)
     }
 
+    /** Guards against a server that fails at once and gets several requests after each pause of the callers. */
+    @Test
+    fun `server that fails at once gets one request after five seconds without requests`() {
+        val load = FailingServerLoad()
+        load.run(requests = 100)
+        load.requestsOfFailing = 0
+        load.pause(5.seconds)
+        load.run(requests = 20)
+        expectThat(load.requestsOfFailing).isLessThanOrEqualTo(1)
+    }
+
     /** Sends a request every 10 ms; one server takes 20 ms for each, and the other one fails at once. */
     private class FailingServerLoad {
         private val fixture = DispatchFixture(listOf(server("a", slots = 4), server("b", slots = 4)))
@@ -275,6 +286,12 @@
         var isFailing = true
         var requestsOfFailing = 0
 
+        /** Lets the requests that run end, and sends none for [time]. */
+        fun pause(time: Duration) {
+            while (running.isNotEmpty()) fixture.release(running.removeFirst(), elapsed = 20.milliseconds)
+            fixture.advance(time)
+        }
+
         fun run(requests: Int): Unit = repeat(requests) {
             val granted = fixture.submitCall().granted().single()
             if (granted.server == BackendServerId("a")) requestsOfFailing += 1
