--- a/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/StopSoakTest.kt
+++ b/arbutusnotch-forwarding/src/test/kotlin/org/arbutusnotch/forwarding/StopSoakTest.kt
@@ -10,7 +10,6 @@
 import org.arbutusnotch.forwarding.fixture.SoakInstance
 import org.arbutusnotch.forwarding.fixture.SoakRequest
 import org.arbutusnotch.forwarding.fixture.StopSoak
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 import org.junit.jupiter.api.io.TempDir
@@ -23,7 +22,6 @@
 import kotlin.time.Duration.Companion.nanoseconds
 import kotlin.time.Duration.Companion.seconds
 
-@Tag("known-red")
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class StopSoakTest {
     @TempDir
