Return the held-back servers from their check

The dispatcher kept the changes of held-back servers in a list that each delivery of decisions emptied, although only the check of a tick, twice a second, adds to it. The check now returns them, and the tick of the dispatch service reports them, after the decisions of that tick. The list and the call for each delivery are gone.

The median share of failures of a stage is computed by StageHealth, which decides with it, and no longer by the class that reports.

--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/HeldBackServers.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/HeldBackServers.kt
@@ -36,42 +36,35 @@
 /** Compares the [trackedServers] of a pool with those that were held back before. */
 internal class HeldBackServers(private val trackedServers: Map<BackendServerId, TrackedServer>) {
     private val heldBack = LinkedHashSet<Pair<TrackedServer, FailureDomainId>>()
-    private val changes = mutableListOf<HeldBackChange>()
     private var nextCheckAt = Timestamp(0)
 
-    /** Returns the changes since the previous call. */
-    fun takeChanges(): List<HeldBackChange> = changes.toList().also { changes.clear() }
-
-    /** Looks for changes at [now] unless the previous check is recent. */
-    fun check(now: Timestamp) {
-        if (now < nextCheckAt) return
+    /** Returns the changes since the previous check; none if that is recent at [now]. */
+    fun check(now: Timestamp): List<HeldBackChange> {
+        if (now < nextCheckAt) return emptyList()
         nextCheckAt = now + CHECK_INTERVAL
         // A server that has been restarted is tracked anew.
         heldBack.removeIf { (tracked, _) -> tracked !in trackedServers.values }
-        trackedServers.values.groupBy { it.server.stage }.values.forEach { checkStage(it, now) }
+        return trackedServers.values.groupBy { it.server.stage }.values.flatMap { checkStage(it, now) }
     }
 
-    private fun checkStage(servers: List<TrackedServer>, now: Timestamp) {
+    private fun checkStage(servers: List<TrackedServer>, now: Timestamp): List<HeldBackChange> {
         val domains = servers.flatMapTo(LinkedHashSet()) { it.health.domainsWithFailures }
-        (domains + heldBack.map { (_, domain) -> domain }).forEach { domain ->
-            val median = medianFailureShare(servers, domain)
-            servers.forEach { update(it, domain, it.health.failsTooOften(domain, median, now)) }
+        return (domains + heldBack.map { (_, domain) -> domain }).flatMap { domain ->
+            val median = StageHealth.medianFailureShare(servers, domain)
+            servers.mapNotNull { change(it, domain, it.health.failsTooOften(domain, median, now)) }
         }
     }
 
-    private fun update(tracked: TrackedServer, domain: FailureDomainId, isHeldBack: Boolean) {
+    /** Remembers whether [tracked] is held back for callers in [domain]; returns null if that was known. */
+    private fun change(tracked: TrackedServer, domain: FailureDomainId, isHeldBack: Boolean): HeldBackChange? {
         val key = tracked to domain
         val isChanged = if (isHeldBack) heldBack.add(key) else heldBack.remove(key)
-        if (!isChanged) return
-        changes += HeldBackChange(tracked.server.id, domain, isHeldBack, tracked.health.failures(domain))
+        if (!isChanged) return null
+        return HeldBackChange(tracked.server.id, domain, isHeldBack, tracked.health.failures(domain))
     }
 
-    companion object {
+    private companion object {
         /** Interval of the checks, which bounds the log of a server whose share of failures rises and falls. */
-        private val CHECK_INTERVAL = 500.milliseconds
-
-        /** Returns the median over [servers] of the share of failures that callers in [domain] have seen. */
-        fun medianFailureShare(servers: Collection<TrackedServer>, domain: FailureDomainId): Double =
-            servers.map { it.health.failureShare(domain) }.sorted().getOrElse((servers.size - 1) / 2) { 0.0 }
+        val CHECK_INTERVAL = 500.milliseconds
     }
 }
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PlaceSelection.kt
@@ -6,6 +6,7 @@
 import org.arbutusnotch.core.forwarding.EngineProfile
 import org.arbutusnotch.core.forwarding.ServerStage
 import org.arbutusnotch.core.id.BackendServerId
+import org.arbutusnotch.core.id.FailureDomainId
 import org.arbutusnotch.core.id.SoftwareVersion
 import org.arbutusnotch.core.message.DispatchRelease
 import org.arbutusnotch.core.message.DispatchWork
@@ -137,7 +138,7 @@
     private val entry: WaitingRequest,
     private val now: Timestamp,
 ) {
-    private val medianFailureShare: Double = HeldBackServers.medianFailureShare(servers, entry.domain)
+    private val medianFailureShare: Double = medianFailureShare(servers, entry.domain)
 
     private val mostAreUnhealthy: Boolean by lazy(LazyThreadSafetyMode.NONE) {
         servers.count { ownAdmission(it) != Admission.FULL } * 2 > servers.size
@@ -161,6 +162,12 @@
 
     private fun ownAdmission(tracked: TrackedServer) =
         tracked.health.admission(entry.holder.address, entry.domain, medianFailureShare, now)
+
+    companion object {
+        /** Returns the median over [servers] of the share of failures that callers in [domain] have seen. */
+        fun medianFailureShare(servers: List<TrackedServer>, domain: FailureDomainId): Double =
+            servers.map { it.health.failureShare(domain) }.sorted().getOrElse((servers.size - 1) / 2) { 0.0 }
+    }
 }
 
 /** Places plain calls on the server with the lowest expected latency, at most one call beyond its slots. */
--- a/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
+++ b/arbutusnotch-core/src/main/kotlin/org/arbutusnotch/core/dispatch/PoolDispatcher.kt
@@ -102,8 +102,8 @@
     /** Returns the changes in the pace of servers since the previous call. */
     public fun takePaceChanges(): List<PaceChange> = pace?.takeChanges().orEmpty()
 
-    /** Returns which servers were held back for failures, or no longer, since the previous call. */
-    public fun takeHeldBackChanges(): List<HeldBackChange> = heldBackServers.takeChanges()
+    /** Returns which servers are held back for failures, or no longer, since the previous check. */
+    public fun checkHeldBackServers(now: Timestamp): List<HeldBackChange> = heldBackServers.check(now)
 
     /** Returns the number of retries that the retry budget still allows at [now]. */
     public fun availableRetries(now: Timestamp): Int = budget.availableRetries(now)
@@ -347,7 +347,6 @@
         recentHolders.values.removeIf { it <= now }
         waiting.values.removeIf { it.expiresAt <= now }
         shares.expire(now)
-        heldBackServers.check(now)
         updatePostponed(now)
         return refuseExcess(now) + dispatchWaiting(now, refusesHopeless = true)
     }
--- a/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/HeldBackServersTest.kt
+++ b/arbutusnotch-core/src/test/kotlin/org/arbutusnotch/core/dispatch/HeldBackServersTest.kt
@@ -33,7 +33,7 @@
         fixture.release(granted, outcome = outcome)
         fixture.advance(10.milliseconds)
         fixture.dispatcher.tick(fixture.now)
-        fixture.dispatcher.takeHeldBackChanges()
+        fixture.dispatcher.checkHeldBackServers(fixture.now)
     }
 
     /** Guards against a server that is left out without a word to the operators, and against a line for each probe. */
--- a/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
+++ b/arbutusnotch-forwarding/src/main/kotlin/org/arbutusnotch/forwarding/dispatch/DispatchService.kt
@@ -140,6 +140,7 @@
             dispatcher.configure(usable[pool].orEmpty(), poolDefinition(pool)?.engine)
             limitToShare(pool, dispatcher, now)
             deliver(pool, dispatcher.tick(now), now)
+            dispatcher.checkHeldBackServers(now).forEach { reportHeldBack(pool, it, now) }
             changeStages(pool, dispatcher, now)
         }
     }
@@ -172,7 +173,6 @@
 
     private fun deliver(pool: PoolId, decisions: List<DispatchDecision>, now: Timestamp) {
         dispatchers[pool]?.takePaceChanges()?.forEach { reportPaceChange(pool, it) }
-        dispatchers[pool]?.takeHeldBackChanges()?.forEach { reportHeldBack(pool, it, now) }
         decisions.forEach { decision ->
             if (decision is DispatchDecision.Refused) logRefusal(pool, decision, now)
             reply(decision.holder.address, replyOf(decision))
